A real node on sockets: HTTP front, worker pools and discovery watch on Grizzly

The adapter's settings parser now takes paths and values, too, so that node and adapter decode the settings with the same code.

--- a/src/main/java/barrowflow/adapter/SettingsParser.java
+++ b/src/main/java/barrowflow/adapter/SettingsParser.java
@@ -12,10 +12,11 @@
 import java.util.Map;
 
 /** The wire's settings, {@code path=value} a line, as the module's. Unknown ones are passed over. */
-final class SettingsParser {
-    private final Map<String, String> values = new HashMap<>();
+public final class SettingsParser {
+    private final Map<String, String> values;
 
     SettingsParser(String text) {
+        values = new HashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
@@ -24,7 +25,13 @@
         }
     }
 
-    Settings settings() {
+    /** Settings that are split into paths and values already. */
+    public SettingsParser(Map<String, String> values) {
+        this.values = Map.copyOf(values);
+    }
+
+    /** @throws IllegalArgumentException which names the setting that is missing or unreadable */
+    public Settings settings() {
         int classes = (int) number("request_classes.count", null);
         List<JobClass> jobClasses = new ArrayList<>();
         for (int c = 0; c < classes; c++) {
@@ -73,7 +80,7 @@
     }
 
     /** The place of free slots ({@code free_slots}) or memory among the values of a load report, or -1. */
-    int reportPlace(String meaning) {
+    public int reportPlace(String meaning) {
         String[] names = word("report.names", "").split(",");
         for (int i = 0; i < names.length; i++) {
             if (word("domain.report_" + names[i], "").equals(meaning)) {
--- /dev/null
+++ b/src/main/java/gorserill/program/Flattener.java
@@ -0,0 +1,63 @@
+package gorserill.program;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Nested JSON as paths and values: objects by name; a list of plain values joined with commas; a list of
+ * objects under {@code .count}, {@code .0}, {@code .1} and so forth; spaces and commas in values become
+ * underscores. It is the form in which the adapter gets its settings, so that both are decoded by one parser.
+ */
+final class Flattener {
+    private final Map<String, String> values = new TreeMap<>();
+
+    private Flattener() { }
+
+    /** Reads the value that is the parser's present token. */
+    static Map<String, String> flatten(JsonParser json) throws IOException {
+        Flattener flattener = new Flattener();
+        flattener.value(json, "");
+        return flattener.values;
+    }
+
+    private void value(JsonParser json, String path) throws IOException {
+        switch (json.currentToken()) {
+            case START_OBJECT -> {
+                while (json.nextToken() != JsonToken.END_OBJECT) {
+                    String name = json.currentName();
+                    json.nextToken();
+                    value(json, path.isEmpty() ? name : path + "." + name);
+                }
+            }
+            case START_ARRAY -> list(json, path);
+            case VALUE_NULL -> { }
+            default -> values.put(path, plain(json));
+        }
+    }
+
+    private void list(JsonParser json, String path) throws IOException {
+        List<String> plain = new ArrayList<>();
+        int objects = 0;
+        while (json.nextToken() != JsonToken.END_ARRAY) {
+            if (json.currentToken().isStructStart()) {
+                value(json, path + "." + objects++);
+            } else {
+                plain.add(plain(json));
+            }
+        }
+        if (objects > 0) {
+            values.put(path + ".count", Integer.toString(objects));
+        } else {
+            values.put(path, String.join(",", plain));
+        }
+    }
+
+    private static String plain(JsonParser json) throws IOException {
+        return json.getText().replace(' ', '_').replace(',', '_');
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/program/Fleet.java
@@ -0,0 +1,73 @@
+package gorserill.program;
+
+import barrowflow.Dispatcher.ListKind;
+import barrowflow.Dispatcher.Worker;
+import barrowflow.Dispatcher.WorkerState;
+import gorserill.common.Loop;
+import gorserill.protocol.discovery.Listing;
+import gorserill.protocol.http.HttpWorker;
+import gorserill.routing.Core;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Turns discovery's listings into workers of the core's. */
+final class Fleet {
+    private static final Logger LOG = Logger.getLogger(Fleet.class.getName());
+    private static final int UNKNOWN = 255;
+
+    private final Loop loop;
+    private final HttpWorker.Terms terms;
+    private final List<String> zones;
+    private final List<String> kinds;
+    /** A worker keeps its number and its pool while the node lives: its name stays the same. */
+    private final Map<String, Long> numbers = new HashMap<>();
+    private final Map<Long, HttpWorker> workers = new HashMap<>();
+
+    Fleet(Loop loop, HttpWorker.Terms terms, List<String> zones, List<String> kinds) {
+        this.loop = loop;
+        this.terms = terms;
+        this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    void tell(Core core, ListKind kind, Listing listing) {
+        List<Worker> entries = new ArrayList<>();
+        Map<Long, HttpWorker> ports = new HashMap<>();
+        for (Listing.Entry entry : listing.entries()) {
+            InetSocketAddress address = NodeConfig.addressOrNull(entry.address());
+            if (address == null) {
+                LOG.log(Level.WARNING, "discovery: worker {0} has an unreadable address {1}; left out",
+                    new Object[] {entry.name(), entry.address()});
+                continue;
+            }
+            long id = numbers.computeIfAbsent(entry.name(), n -> numbers.size() + 1L);
+            HttpWorker worker = workers.computeIfAbsent(id,
+                i -> new HttpWorker(terms, entry.name(), address));
+            worker.moveTo(address);
+            WorkerState state = switch (entry.status()) {
+                case "in_service" -> WorkerState.READY;
+                case "terminated" -> WorkerState.GONE;
+                // An unknown state is treated as the careful one.
+                default -> WorkerState.DRAINING;
+            };
+            if (state != WorkerState.READY) {
+                LOG.log(Level.INFO, "worker {0} is {1}", new Object[] {entry.name(), entry.status()});
+                worker.closeIdle();
+            }
+            ports.put(id, worker);
+            entries.add(new Worker(id, place(kinds, entry.type()), place(zones, entry.zone()), entry.group(),
+                state, loop.fromUnixMillis(entry.since())));
+        }
+        core.listed(kind, entries, ports);
+    }
+
+    private static int place(List<String> names, String name) {
+        int place = names.indexOf(name);
+        return place < 0 ? UNKNOWN : place;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/program/Main.java
@@ -0,0 +1,47 @@
+package gorserill.program;
+
+import java.io.IOException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import sun.misc.Signal;
+
+/** The command line: {@code serve} runs a node, {@code adapter} its decisions on the simulator's wire. */
+public final class Main {
+    private static final Logger LOG = Logger.getLogger(Main.class.getName());
+
+    private Main() { }
+
+    /** Exit status 0 at the end, 1 on a fault, 2 on a wrong command line or configuration. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> System.exit(serve());
+            case "adapter" -> barrowflow.adapter.Main.main(args);
+            default -> {
+                System.err.println("usage: java -jar gorserill.jar serve | adapter");
+                System.exit(2);
+            }
+        }
+    }
+
+    private static int serve() throws InterruptedException {
+        Logging.setUp();
+        Node node;
+        try {
+            node = new Node(NodeConfig.read(System.getenv()));
+        } catch (ConfigException e) {
+            LOG.log(Level.SEVERE, "configuration: {0}", e.getMessage());
+            return 2;
+        }
+        Signal.handle(new Signal("TERM"), signal -> node.drain());
+        Signal.handle(new Signal("INT"), signal -> node.drain());
+        try {
+            node.start();
+        } catch (IOException e) {
+            LOG.log(Level.SEVERE, "the node can''t start: {0}", e.getMessage());
+            return 1;
+        }
+        node.awaitEnd();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -0,0 +1,197 @@
+package gorserill.program;
+
+import barrowflow.Dispatcher.Effect;
+import barrowflow.Dispatcher.JobClass;
+import barrowflow.Dispatcher.Settings;
+import barrowflow.adapter.SettingsParser;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import gorserill.protocol.discovery.Listing;
+import gorserill.protocol.http.HttpFront.ClassTerms;
+import gorserill.protocol.http.LoadNames;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The node's configuration: the one place where it is read, gets its defaults and is checked. */
+public final class NodeConfig {
+    private static final int DEFAULT_SOCKETS = 1024;
+    /** Descriptors kept for the program itself: the jar, the selector, logs, listeners, discovery. */
+    private static final int OWN_DESCRIPTORS = 96;
+
+    final String name;
+    final InetSocketAddress listen;
+    final InetSocketAddress discovery;
+    final long seed;
+    final int sockets;
+    /** Null where the node was told none. */
+    final Listing known;
+    final Settings settings;
+    final List<String> classNames;
+    final List<String> zones;
+    final List<String> kinds;
+    final LoadNames reports;
+    final long connectTimeout;
+    final long connectionIdle;
+
+    private final Map<String, String> values;
+
+    private NodeConfig(Map<String, String> top, Map<String, String> values, Listing known)
+        throws ConfigException {
+        this.values = values;
+        this.known = known;
+        name = top.getOrDefault("name", "node");
+        listen = address(top, "listen");
+        discovery = address(top, "discovery");
+        seed = seed(top);
+        sockets = (int) number(top, "limits.sockets", DEFAULT_SOCKETS);
+        if (sockets <= OWN_DESCRIPTORS) {
+            throw new ConfigException("limits.sockets", sockets + " is too few, the node itself needs "
+                + OWN_DESCRIPTORS);
+        }
+        SettingsParser parser = new SettingsParser(values);
+        try {
+            settings = parser.settings();
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException("settings", e.getMessage());
+        }
+        classNames = new ArrayList<>();
+        for (int c = 0; c < settings.classes().size(); c++) {
+            String path = "request_classes." + c + ".name";
+            if (!values.containsKey(path)) {
+                throw new ConfigException("settings." + path, "is missing");
+            }
+            classNames.add(values.get(path));
+        }
+        zones = List.of(values.getOrDefault("areas", "").split(","));
+        kinds = List.of(values.getOrDefault("shapes", "").split(","));
+        reports = new LoadNames(reportName(parser, "free_slots"), reportName(parser, "free_memory"));
+        connectTimeout = (long) number(values, "caps.connect_timeout_us", 250_000);
+        connectionIdle = (long) number(values, "caps.conn_idle_us", 15_000_000);
+    }
+
+    /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
+    static NodeConfig read(Map<String, String> environment) throws ConfigException {
+        String file = environment.get("NODE_CONFIG");
+        if (file == null) {
+            throw new ConfigException("NODE_CONFIG", "is not set");
+        }
+        Map<String, String> top = new LinkedHashMap<>();
+        Map<String, String> settings = null;
+        Listing known = null;
+        String key = file;
+        try (JsonParser json = new JsonFactory().createParser(Files.readString(Path.of(file)))) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new ConfigException(file, "is not a JSON object");
+            }
+            while (json.nextToken() != JsonToken.END_OBJECT) {
+                key = json.currentName();
+                JsonToken value = json.nextToken();
+                if (key.equals("settings")) {
+                    settings = Flattener.flatten(json);
+                } else if (key.equals("known") && value != JsonToken.VALUE_NULL) {
+                    known = Listing.read(json);
+                } else {
+                    String at = key;
+                    Flattener.flatten(json).forEach((path, text) ->
+                        top.put(path.isEmpty() ? at : at + "." + path, text));
+                }
+            }
+        } catch (IOException e) {
+            throw new ConfigException(key, "can't be read: " + e.getMessage());
+        }
+        if (settings == null) {
+            throw new ConfigException("settings", "is missing");
+        }
+        environment.forEach((variable, text) -> {
+            switch (variable) {
+                case "NODE_NAME" -> top.put("name", text);
+                case "NODE_LISTEN" -> top.put("listen", text);
+                case "NODE_DISCOVERY" -> top.put("discovery", text);
+                default -> { }
+            }
+        });
+        return new NodeConfig(top, settings, known);
+    }
+
+    /** What the fronts need to know of the classes, by name. */
+    Map<String, ClassTerms> classTerms() {
+        Map<String, ClassTerms> terms = new LinkedHashMap<>();
+        for (int c = 0; c < classNames.size(); c++) {
+            JobClass of = settings.classes().get(c);
+            terms.put(classNames.get(c), new ClassTerms(c, of.deadline(), of.effect() == Effect.KEYED));
+        }
+        return terms;
+    }
+
+    /** Most connections of all kinds together. */
+    int connectionBudget() {
+        return sockets - OWN_DESCRIPTORS;
+    }
+
+    /** How long a connection to a worker may stand idle: well below the worker's own limit. */
+    long keepIdle() {
+        return connectionIdle * 6 / 10;
+    }
+
+    private String reportName(SettingsParser parser, String meaning) {
+        int place = parser.reportPlace(meaning);
+        return place < 0 ? null : values.get("report.names").split(",")[place];
+    }
+
+    private static long seed(Map<String, String> top) throws ConfigException {
+        String text = top.getOrDefault("seed", "0");
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigException("seed", "'" + text + "' is no hexadecimal number of 64 bits");
+        }
+    }
+
+    private static double number(Map<String, String> values, String key, double otherwise)
+        throws ConfigException {
+        String text = values.get(key);
+        try {
+            double number = text == null ? otherwise : Double.parseDouble(text);
+            if (number > 0) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, like a number that can't be.
+        }
+        throw new ConfigException(key, "'" + text + "' is no number above 0");
+    }
+
+    private static InetSocketAddress address(Map<String, String> top, String key) throws ConfigException {
+        String text = top.get(key);
+        if (text == null) {
+            throw new ConfigException(key, "is missing");
+        }
+        return address(text, key);
+    }
+
+    static InetSocketAddress address(String text, String key) throws ConfigException {
+        InetSocketAddress address = addressOrNull(text);
+        if (address == null) {
+            throw new ConfigException(key, "'" + text + "' is no address with a port");
+        }
+        return address;
+    }
+
+    /** An address such as 10.0.0.4:3000, or null. */
+    static InetSocketAddress addressOrNull(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return colon < 1 ? null : new InetSocketAddress(text.substring(0, colon), port);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/protocol/discovery/Listing.java
@@ -0,0 +1,75 @@
+package gorserill.protocol.discovery;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What discovery answers: the whole list of workers, or changes to it. */
+public record Listing(long index, boolean whole, List<Entry> entries) {
+
+    /** A worker as listed; {@code since} in milliseconds of Unix time, 0 for long ago. */
+    public record Entry(String name, String address, String zone, String type, int group, String status,
+                        long since) { }
+
+    /** Reads a listing whose opening brace is the parser's present token. */
+    public static Listing read(JsonParser json) throws IOException {
+        if (json.currentToken() != JsonToken.START_OBJECT) {
+            throw new IOException("a listing that is not an object");
+        }
+        long index = -1;
+        boolean whole = false;
+        List<Entry> entries = new ArrayList<>();
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String name = json.currentName();
+            JsonToken value = json.nextToken();
+            if (name.equals("index")) {
+                index = json.getLongValue();
+            } else if (name.equals("snapshot")) {
+                whole = json.getBooleanValue();
+            } else if (name.equals("endpoints") && value == JsonToken.START_ARRAY) {
+                while (json.nextToken() != JsonToken.END_ARRAY) {
+                    entries.add(entry(json));
+                }
+            } else {
+                json.skipChildren();
+            }
+        }
+        if (index < 0) {
+            throw new IOException("a listing without index");
+        }
+        return new Listing(index, whole, entries);
+    }
+
+    private static Entry entry(JsonParser json) throws IOException {
+        if (json.currentToken() != JsonToken.START_OBJECT) {
+            throw new IOException("an endpoint that is not an object");
+        }
+        String name = null;
+        String address = null;
+        String zone = "";
+        String type = "";
+        int group = 0;
+        String status = "";
+        long since = 0;
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String field = json.currentName();
+            json.nextToken();
+            switch (field) {
+                case "name" -> name = json.getText();
+                case "address" -> address = json.getText();
+                case "zone" -> zone = json.getText();
+                case "type" -> type = json.getText();
+                case "group" -> group = json.getIntValue();
+                case "status" -> status = json.getText();
+                case "since_ms" -> since = (long) json.getDoubleValue();
+                default -> json.skipChildren();
+            }
+        }
+        if (name == null || address == null) {
+            throw new IOException("an endpoint without name or address");
+        }
+        return new Entry(name, address, zone, type, group, status, since);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/protocol/http/HttpHead.java
@@ -0,0 +1,28 @@
+package gorserill.protocol.http;
+
+import java.util.Map;
+
+/**
+ * The first line of a message and its headers, their names in lower case.
+ *
+ * @param first method or version
+ * @param second target or status
+ * @param third version or reason
+ */
+public record HttpHead(String first, String second, String third, Map<String, String> headers) {
+    public String header(String name) {
+        return headers.get(name);
+    }
+
+    /** Whether its sender ends the connection after this message. */
+    boolean closes() {
+        String connection = headers.getOrDefault("connection", "").toLowerCase(java.util.Locale.ROOT);
+        boolean old = first.equals("HTTP/1.0") || third.equals("HTTP/1.0");
+        return connection.contains("close") || old && !connection.contains("keep-alive");
+    }
+
+    /** Of an answer. */
+    public int status() {
+        return Integer.parseInt(second);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/protocol/http/Labels.java
@@ -0,0 +1,58 @@
+package gorserill.protocol.http;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The figures in a request's headers. */
+final class Labels {
+    private final HttpHead head;
+    private final Map<String, String> values = new HashMap<>();
+
+    private Labels(HttpHead head) {
+        this.head = head;
+    }
+
+    /** @throws NumberFormatException where one is unreadable, here as in the other methods */
+    static Labels of(HttpHead head) {
+        Labels labels = new Labels(head);
+        for (String label : head.headers().getOrDefault("x-labels", "").split(",")) {
+            int equals = label.indexOf('=');
+            if (equals > 0) {
+                labels.values.put(label.substring(0, equals).trim(), label.substring(equals + 1).trim());
+            }
+        }
+        return labels;
+    }
+
+    /** How long the client waits, in microseconds; no longer than its class allows. */
+    long remaining(long most) {
+        String millis = head.header("x-remaining-ms");
+        return millis == null ? most : Math.max(0, Math.min(most, Long.parseLong(millis) * 1_000));
+    }
+
+    /** What the request is about, 0 for nothing. A key that is no hexadecimal number is hashed. */
+    long key() {
+        String entity = head.header("x-entity");
+        if (entity == null || entity.isEmpty()) {
+            return 0;
+        }
+        if (entity.matches("[0-9a-fA-F]{1,16}")) {
+            return Long.parseUnsignedLong(entity, 16);
+        }
+        long hash = 0;
+        for (int i = 0; i < entity.length(); i++) {
+            hash = 31 * hash + entity.charAt(i);
+        }
+        return hash;
+    }
+
+    /** A figure under its name or its other name. */
+    double number(String name, String otherName, double otherwise) {
+        String value = values.getOrDefault(name, values.get(otherName));
+        double number = value == null ? otherwise : Double.parseDouble(value);
+        if (!(number >= 0 && number < 1e6)) {
+            throw new NumberFormatException(name + "=" + value);
+        }
+        return number;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/routing/Attempt.java
@@ -0,0 +1,37 @@
+package gorserill.routing;
+
+import barrowflow.Dispatcher.Outcome;
+
+/** One attempt at a request. A worker port tells of it through the methods here, on the core's thread. */
+public final class Attempt {
+    final Request request;
+    final int number;
+    final WorkerPort port;
+    final Core core;
+    long handle;
+    boolean started;
+    /** Its outcome proved that the job never ran. */
+    boolean neverRan;
+
+    Attempt(Core core, Request request, int number, WorkerPort port) {
+        this.core = core;
+        this.request = request;
+        this.number = number;
+        this.port = port;
+    }
+
+    /** The job began to run. */
+    public void started() {
+        core.started(this);
+    }
+
+    /** It ended; {@code result} counts where it was served. Later calls change nothing. */
+    public void ended(Outcome outcome, byte[] result, Load load) {
+        core.ended(this, outcome, result, load);
+    }
+
+    /** The client's id of the request, for logs. */
+    public String requestId() {
+        return request.work.id();
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/routing/Core.java
@@ -0,0 +1,264 @@
+package gorserill.routing;
+
+import barrowflow.Choice;
+import barrowflow.Dispatcher;
+import barrowflow.Dispatcher.JobClass;
+import barrowflow.Dispatcher.ListKind;
+import barrowflow.Dispatcher.Outcome;
+import barrowflow.Dispatcher.Settings;
+import barrowflow.Dispatcher.Worker;
+import barrowflow.Dispatcher.WorkerState;
+import gorserill.common.Loop;
+import gorserill.common.SlotTable;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The host of the decision module: it keeps requests and attempts, carries out what the module asks for and
+ * sees to it that each request gets exactly one final answer in time. It knows no wire. All of it runs on the
+ * loop's thread.
+ */
+public final class Core implements Dispatcher.Actions {
+    private static final Logger LOG = Logger.getLogger(Core.class.getName());
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Dispatcher module;
+    private final Runnable watch;
+    private final SlotTable<Request> requests = new SlotTable<>();
+    private final SlotTable<Attempt> attempts = new SlotTable<>();
+    private final Map<Long, WorkerPort> ports = new HashMap<>();
+    /** Workers that came to the node by themselves; a list from discovery does not know them. */
+    private final Map<Long, Worker> guests = new HashMap<>();
+    private long lastNow;
+    private int open;
+    private Runnable whenIdle;
+
+    /** @param watch starts a subscription to the worker list; whatever comes of it goes to {@link #listed} */
+    public Core(Loop loop, Settings settings, long seed, Runnable watch) {
+        this.loop = loop;
+        this.settings = settings;
+        this.watch = watch;
+        module = new Choice(settings, seed, now(), this);
+    }
+
+    // ---- what comes in ----
+
+    /** Takes a request, whose last byte came at {@code arrived}; gives its handle. */
+    public long take(Front front, Work work, long arrived, long timeLeft, int tenant, long key, double slots,
+                     double memory) {
+        long now = now();
+        long expires = arrived + timeLeft;
+        Request request = new Request(front, work, expires);
+        request.handle = requests.add(request);
+        open++;
+        if (expires <= now) {
+            conclude(request);
+            front.refused(0);
+            release(request);
+            return request.handle;
+        }
+        request.deadline = loop.at(expires, () -> expire(request));
+        module.request(now, request.handle, work.jobClass(), tenant, key, expires - now, slots, memory);
+        return request.handle;
+    }
+
+    /** The client has left. */
+    public void withdraw(long handle) {
+        Request request = requests.get(handle);
+        if (request != null && !request.over) {
+            conclude(request);
+            module.withdrawn(now(), handle);
+            release(request);
+        }
+    }
+
+    /** The worker list, or changes to it, as discovery tells them. */
+    public void listed(ListKind kind, List<Worker> entries, Map<Long, ? extends WorkerPort> addresses) {
+        ports.putAll(addresses);
+        List<Worker> all = new ArrayList<>(entries);
+        if (kind == ListKind.WHOLE || kind == ListKind.CACHED) {
+            all.addAll(guests.values());
+        }
+        module.workers(now(), kind, all);
+    }
+
+    /** A worker that came by itself, or a change of its state. */
+    public void guest(Worker worker, WorkerPort port) {
+        if (worker.state() == WorkerState.GONE) {
+            guests.remove(worker.id());
+        } else {
+            guests.put(worker.id(), worker);
+            ports.put(worker.id(), port);
+        }
+        module.workers(now(), ListKind.CHANGES, List.of(worker));
+    }
+
+    /** Calls back once no request is open; new ones may still come before that. */
+    public void whenIdle(Runnable then) {
+        whenIdle = then;
+        tellIdle();
+    }
+
+    public int openRequests() {
+        return open;
+    }
+
+    // ---- what becomes of attempts ----
+
+    void started(Attempt attempt) {
+        if (attempts.get(attempt.handle) != null && !attempt.started) {
+            attempt.started = true;
+            module.started(now(), attempt.request.handle, attempt.number);
+        }
+    }
+
+    void ended(Attempt attempt, Outcome outcome, byte[] result, Load load) {
+        if (attempts.remove(attempt.handle) == null) {
+            return;
+        }
+        Request request = attempt.request;
+        request.out--;
+        attempt.neverRan = outcome.neverRan;
+        // The answer goes out before the module learns of it: it waits for nobody's bookkeeping.
+        if (outcome == Outcome.SERVED && !request.over) {
+            conclude(request);
+            request.front.served(result);
+        }
+        module.ended(now(), request.handle, attempt.number, outcome, request.over, load.freeSlots(),
+            load.freeMemory());
+        release(request);
+    }
+
+    /**
+     * The client's time is up: attempts still out have timed out, and the module gives the final answer. What
+     * it leaves open gets one here: a request without an answer is a broken promise whoever forgot it.
+     */
+    private void expire(Request request) {
+        for (Attempt attempt : List.copyOf(request.attempts)) {
+            if (attempts.get(attempt.handle) != null) {
+                boolean never = attempt.port.callOff(attempt);
+                ended(attempt, never ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, null, Load.NONE);
+            }
+        }
+        if (!request.over) {
+            LOG.log(Level.WARNING, "request {0} reached its deadline undecided; failed", request.work.id());
+            conclude(request);
+            module.withdrawn(now(), request.handle);
+            request.front.failed();
+            release(request);
+        }
+    }
+
+    /** From here on the request has its one final answer. */
+    private void conclude(Request request) {
+        request.over = true;
+        loop.cancel(request.deadline);
+        open--;
+        loop.execute(this::tellIdle);
+    }
+
+    private void tellIdle() {
+        if (whenIdle != null && open == 0) {
+            Runnable then = whenIdle;
+            whenIdle = null;
+            then.run();
+        }
+    }
+
+    private void release(Request request) {
+        if (request.over && request.out == 0) {
+            requests.remove(request.handle);
+        }
+    }
+
+    private long now() {
+        // The module's clock must not go back, not even by what two threads' clocks may differ.
+        lastNow = Math.max(lastNow, loop.now());
+        return lastNow;
+    }
+
+    // ---- what the module asks for ----
+
+    @Override
+    public void send(long handle, long worker) {
+        Request request = requests.get(handle);
+        if (request == null || request.over) {
+            LOG.log(Level.SEVERE, "the module sent request {0}, which is over; not sent", handle);
+            return;
+        }
+        Attempt attempt = new Attempt(this, request, request.attempts.size(), ports.get(worker));
+        request.attempts.add(attempt);
+        request.out++;
+        attempt.handle = attempts.add(attempt);
+        attempt.port.start(attempt, request.work, request.expires);
+    }
+
+    @Override
+    public void cancel(long handle, int number) {
+        Request request = requests.get(handle);
+        if (request != null && number < request.attempts.size()) {
+            Attempt attempt = request.attempts.get(number);
+            if (attempts.get(attempt.handle) != null) {
+                attempt.port.callOff(attempt);
+                // Its outcome comes as an event of its own: the module is in the middle of a call.
+                loop.execute(() -> ended(attempt, Outcome.CANCELLED, null, Load.NONE));
+            }
+        }
+    }
+
+    @Override
+    public void refuse(long handle, long wait) {
+        Request request = requests.get(handle);
+        if (request == null || request.over) {
+            return;
+        }
+        conclude(request);
+        if (provedNeverRun(request) || mayRepeat(settings.classes().get(request.work.jobClass()))) {
+            request.front.refused(wait);
+        } else {
+            LOG.log(Level.SEVERE, "the module refused request {0}, which may have run; failed",
+                request.work.id());
+            request.front.failed();
+        }
+        release(request);
+    }
+
+    private static boolean mayRepeat(JobClass of) {
+        return of.effect() == Dispatcher.Effect.SAFE
+            || of.effect() == Dispatcher.Effect.KEYED && of.group() == Dispatcher.Group.ALL;
+    }
+
+    private boolean provedNeverRun(Request request) {
+        for (Attempt attempt : request.attempts) {
+            if (!attempt.neverRan) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void fail(long handle) {
+        Request request = requests.get(handle);
+        if (request != null && !request.over) {
+            conclude(request);
+            request.front.failed();
+            release(request);
+        }
+    }
+
+    @Override
+    public void timerAt(long time) {
+        loop.at(time, () -> module.timer(now()));
+    }
+
+    @Override
+    public void watchList() {
+        watch.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/routing/Front.java
@@ -0,0 +1,13 @@
+package gorserill.routing;
+
+/** Where a request came in, and its one final answer goes out; called on the core's thread. */
+public interface Front {
+    /** A worker did the job; {@code result} is what it gave, maybe nothing. */
+    void served(byte[] result);
+
+    /** Not done, and trying again is harmless, best after {@code waitMicros}. */
+    void refused(long waitMicros);
+
+    /** Not done as far as is known, but it may have run. */
+    void failed();
+}
--- /dev/null
+++ b/src/main/java/gorserill/routing/Work.java
@@ -0,0 +1,14 @@
+package gorserill.routing;
+
+/**
+ * A job as the core passes it on, in no wire's terms.
+ *
+ * @param id the client's own id of the request
+ * @param jobClass its place in the settings' list of classes
+ * @param route where within the service the client asked for it, for whoever can make use of it
+ * @param effectKey what workers tell repeats by; null where the job has none
+ * @param contentType of the body; null where not told
+ * @param body passed on unread
+ */
+public record Work(String id, int jobClass, String route, String effectKey, String contentType,
+                   byte[] body) { }
--- /dev/null
+++ b/src/main/java/gorserill/routing/WorkerPort.java
@@ -0,0 +1,19 @@
+package gorserill.routing;
+
+/** A worker that the core can send attempts to; called on the core's thread. */
+public interface WorkerPort {
+    /**
+     * Starts an attempt, which the worker ends with exactly one call of {@link Attempt#ended}, never from
+     * within this method, unless it is called off before.
+     *
+     * @param expires when the core stops waiting for it
+     */
+    void start(Attempt attempt, Work work, long expires);
+
+    /**
+     * Stops waiting for an attempt that has not ended; nothing may be told of it from here on.
+     *
+     * @return true where the job provably was never handed to the worker
+     */
+    boolean callOff(Attempt attempt);
+}
--- /dev/null
+++ b/src/main/java/gorserill/transport/Peer.java
@@ -0,0 +1,16 @@
+package gorserill.transport;
+
+/** Who a connection's events are for. All of it is called on the loop's thread, in order. */
+public interface Peer {
+    /** The connection is up. */
+    void opened(Channel channel);
+
+    /** The codec of the connection's chain made out a message. */
+    void received(Object message);
+
+    /** The connection is gone; nothing more comes of it. */
+    void closed();
+
+    /** The connection never came up; comes instead of all the rest. */
+    default void connectFailed(String why) { }
+}
--- /dev/null
+++ b/src/main/java/gorserill/transport/Transport.java
@@ -0,0 +1,199 @@
+package gorserill.transport;
+
+import gorserill.common.Loop;
+import gorserill.common.SlotTable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.GrizzlyFuture;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * Grizzly's set-up: one selector thread, small heap buffers, the chains, and the table of connections with
+ * its budget of descriptors. Codecs run on the selector thread; all else on the loop's.
+ */
+public final class Transport {
+    private static final Logger LOG = Logger.getLogger(Transport.class.getName());
+    private static final int READ_BUFFER = 8 * 1024;
+    private static final int BACKLOG = 512;
+
+    /** A connection on its way up. */
+    public interface Connecting {
+        /** Gives it up; nothing more is told of it. */
+        void cancel();
+    }
+
+    private final Loop loop;
+    private final int budget;
+    private final TCPNIOTransport nio;
+    private final Attribute<Channel> channels =
+        Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gorserill.channel");
+    private final SlotTable<Channel> table = new SlotTable<>();
+    /** Connections up or on their way; counted where they begin, on whichever thread that is. */
+    private final AtomicInteger descriptors = new AtomicInteger();
+
+    /** @param budget the most connections held at a time, of all kinds together */
+    public Transport(Loop loop, int budget) {
+        this.loop = loop;
+        this.budget = budget;
+        ThreadPoolConfig one = ThreadPoolConfig.defaultConfig().copy().setPoolName("selector")
+            .setCorePoolSize(1).setMaxPoolSize(1);
+        nio = TCPNIOTransportBuilder.newInstance().setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorThreadPoolConfig(one).setSelectorRunnersCount(1).setTcpNoDelay(true)
+            .setMemoryManager(new HeapMemoryManager(0)).setReadBufferSize(READ_BUFFER)
+            .setServerConnectionBackLog(BACKLOG).setReuseAddress(true).build();
+    }
+
+    public void start() throws IOException {
+        nio.start();
+    }
+
+    public void stop() {
+        try {
+            nio.shutdownNow();
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "the transport did not stop cleanly", e);
+        }
+    }
+
+    /** A chain of the transport, a codec and the hand-over to the loop. */
+    public FilterChain chain(Filter codec) {
+        return FilterChainBuilder.stateless().add(new TransportFilter()).add(codec)
+            .add(new HandOver(loop, channels)).build();
+    }
+
+    /** Listens; each connection accepted gets a peer of its own. Gives what ends the listening. */
+    public Runnable listen(InetSocketAddress address, Filter codec, Supplier<? extends Peer> peers)
+        throws IOException {
+        FilterChain chain = FilterChainBuilder.stateless().add(new TransportFilter())
+            .add(new Accepting(peers)).add(codec).add(new HandOver(loop, channels)).build();
+        TCPNIOServerConnection server =
+            TCPNIOBindingHandler.builder(nio).processor(chain).build().bind(address, BACKLOG);
+        return server::closeSilently;
+    }
+
+    /** Opens a connection; the peer hears {@code opened} or {@code connectFailed}. */
+    public Connecting connect(InetSocketAddress address, FilterChain chain, Peer peer) {
+        if (descriptors.get() >= budget) {
+            loop.execute(() -> peer.connectFailed("the budget of descriptors is used up"));
+            return () -> { };
+        }
+        descriptors.incrementAndGet();
+        Pending pending = new Pending(peer);
+        pending.future = TCPNIOConnectorHandler.builder(nio).processor(chain).build().connect(address);
+        pending.future.addCompletionHandler(pending);
+        return pending;
+    }
+
+    /** Whether connections use so much of the budget that new ones should be turned away. */
+    public boolean crowded() {
+        return descriptors.get() > budget - budget / 8;
+    }
+
+    /** Connections up or on their way. */
+    public int connections() {
+        return descriptors.get();
+    }
+
+    @SuppressWarnings("unchecked")
+    private Channel register(Connection<?> opened, Peer peer) {
+        Connection<Object> connection = (Connection<Object>) opened;
+        Channel channel = new Channel(connection, peer);
+        channels.set(connection, channel);
+        loop.execute(() -> {
+            channel.handle = table.add(channel);
+            peer.opened(channel);
+        });
+        connection.addCloseListener((closeable, type) -> {
+            descriptors.decrementAndGet();
+            loop.execute(() -> {
+                if (table.remove(channel.handle) != null) {
+                    peer.closed();
+                }
+            });
+        });
+        return channel;
+    }
+
+    /** Enters accepted connections in the table, before anything is read from them. */
+    private final class Accepting extends BaseFilter {
+        private final Supplier<? extends Peer> peers;
+
+        Accepting(Supplier<? extends Peer> peers) {
+            this.peers = peers;
+        }
+
+        @Override
+        public NextAction handleAccept(FilterChainContext ctx) {
+            // Beyond the budget a connection can't even be refused politely: a descriptor too many fails
+            // whatever the node opens next.
+            if (descriptors.incrementAndGet() > budget) {
+                descriptors.decrementAndGet();
+                LOG.log(Level.WARNING, "connection from {0} closed: budget of {1} descriptors used up",
+                    new Object[] {ctx.getConnection().getPeerAddress(), budget});
+                ctx.getConnection().terminateSilently();
+                return ctx.getStopAction();
+            }
+            register(ctx.getConnection(), peers.get());
+            return ctx.getInvokeAction();
+        }
+    }
+
+    private final class Pending extends EmptyCompletionHandler<Connection> implements Connecting {
+        private final Peer peer;
+        private GrizzlyFuture<Connection> future;
+        private boolean cancelled;
+
+        Pending(Peer peer) {
+            this.peer = peer;
+        }
+
+        @Override
+        public void cancel() {
+            // Cancelling closes the socket, too: one to a silent machine would hang for minutes.
+            cancelled = true;
+            future.cancel(true);
+        }
+
+        @Override
+        public void completed(Connection connection) {
+            register(connection, peer);
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            descriptors.decrementAndGet();
+            loop.execute(() -> {
+                if (!cancelled) {
+                    peer.connectFailed(String.valueOf(cause.getMessage()));
+                }
+            });
+        }
+
+        @Override
+        public void cancelled() {
+            descriptors.decrementAndGet();
+        }
+    }
+}
