Faktory front: PUSH, FETCH, ACK, FAIL, BEAT on the same core, off by default

A worker process (wid) is a core worker, a waiting FETCH a free slot, a job handed out an attempt. PUSH is answered when the job's fate is known.

Writes are now tracked one by one: a later reply on the same connection must not stand for an earlier job that never left.

--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -3,16 +3,25 @@
 import barrowflow.Dispatcher.ListKind;
 import gorserill.common.Loop;
 import gorserill.protocol.discovery.Listing;
+import gorserill.protocol.faktory.FaktoryCodec;
+import gorserill.protocol.faktory.FaktoryFront;
 import gorserill.protocol.http.HttpCodec;
 import gorserill.protocol.http.HttpFront;
 import gorserill.protocol.http.HttpWatch;
 import gorserill.protocol.http.HttpWorker;
 import gorserill.routing.Core;
+import gorserill.transport.Peer;
 import gorserill.transport.Transport;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.glassfish.grizzly.filterchain.Filter;
 
 /** A running node: its parts put together, its start and its end. */
 final class Node {
@@ -34,7 +43,8 @@
     private HttpFront front;
     private Fleet fleet;
     private HttpWatch watch;
-    private Runnable stopListening = () -> { };
+    private FaktoryFront faktory;
+    private final List<Runnable> listeners = new ArrayList<>();
 
     Node(NodeConfig config) {
         this.config = config;
@@ -50,6 +60,9 @@
         watch = new HttpWatch(loop, transport, transport.chain(HttpCodec.client(loop, MAX_LISTING)),
             config.discovery, this::heard, this::watchFailed);
         core = new Core(loop, config.settings, config.seed, watch::start);
+        if (config.faktory != null) {
+            faktory = new FaktoryFront(loop, core, config.faktory, config.seed);
+        }
         front = new HttpFront(loop, core, config.classTerms(), transport::crowded);
         if (config.known != null) {
             fleet.tell(core, ListKind.CACHED, config.known);
@@ -59,8 +72,16 @@
         }
         loop.at(loop.now() + FIRST_LIST, () -> ready("no word from discovery yet"));
         loop.start();
-        stopListening = transport.listen(config.listen, HttpCodec.server(loop, MAX_BODY), front::accept);
-        LOG.log(Level.INFO, "{0} listens at {1}", new Object[] {config.name, config.listen});
+        listen("clients", config.listen, HttpCodec.server(loop, MAX_BODY), front::accept);
+        if (faktory != null) {
+            listen("Faktory", config.faktory.listen(), new FaktoryCodec(), faktory::accept);
+        }
+    }
+
+    private void listen(String whom, InetSocketAddress at, Filter codec, Supplier<Peer> peers)
+        throws IOException {
+        listeners.add(transport.listen(at, codec, peers));
+        LOG.log(Level.INFO, "{0} listens for {1} at {2}", new Object[] {config.name, whom, at});
     }
 
     private void heard(Listing listing) {
@@ -69,7 +90,7 @@
     }
 
     private void watchFailed() {
-        core.listed(ListKind.FAILED, java.util.List.of(), java.util.Map.of());
+        core.listed(ListKind.FAILED, List.of(), Map.of());
     }
 
     private void ready(String why) {
@@ -85,9 +106,15 @@
             LOG.log(Level.INFO, "{0} drains: {1} requests open",
                 new Object[] {config.name, core.openRequests()});
             front.drain();
+            if (faktory != null) {
+                faktory.drain();
+            }
             loop.at(loop.now() + LINGER, () -> {
-                stopListening.run();
+                listeners.forEach(Runnable::run);
                 front.closeIdle();
+                if (faktory != null) {
+                    faktory.closeIdle();
+                }
                 core.whenIdle(() -> loop.at(loop.now() + LAST_ANSWERS, done::countDown));
             });
         });
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -7,8 +7,9 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import gorserill.protocol.ClassTerms;
 import gorserill.protocol.discovery.Listing;
-import gorserill.protocol.http.HttpFront.ClassTerms;
+import gorserill.protocol.faktory.FaktoryTerms;
 import gorserill.protocol.http.LoadNames;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -39,10 +40,12 @@
     final LoadNames reports;
     final long connectTimeout;
     final long connectionIdle;
+    /** Null where the front is off. */
+    final FaktoryTerms faktory;
 
     private final Map<String, String> values;
 
-    private NodeConfig(Map<String, String> top, Map<String, String> values, Listing known)
+    private NodeConfig(Map<String, String> top, Map<String, String> values, Listing known, Path faktoryFile)
         throws ConfigException {
         this.values = values;
         this.known = known;
@@ -74,6 +77,7 @@
         reports = new LoadNames(reportName(parser, "free_slots"), reportName(parser, "free_memory"));
         connectTimeout = (long) number(values, "caps.connect_timeout_us", 250_000);
         connectionIdle = (long) number(values, "caps.conn_idle_us", 15_000_000);
+        faktory = FaktoryConfig.read(faktoryFile, classNames, classTerms());
     }
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
@@ -117,7 +121,8 @@
                 default -> { }
             }
         });
-        return new NodeConfig(top, settings, known);
+        return new NodeConfig(top, settings, known,
+            Path.of(environment.getOrDefault("GORSERILL_FAKTORY", "deploy/faktory.json")));
     }
 
     /** What the fronts need to know of the classes, by name. */
@@ -125,7 +130,8 @@
         Map<String, ClassTerms> terms = new LinkedHashMap<>();
         for (int c = 0; c < classNames.size(); c++) {
             JobClass of = settings.classes().get(c);
-            terms.put(classNames.get(c), new ClassTerms(c, of.deadline(), of.effect() == Effect.KEYED));
+            terms.put(classNames.get(c), new ClassTerms(c, of.deadline(), of.effect() == Effect.KEYED,
+                of.effect() == Effect.UNSAFE));
         }
         return terms;
     }
--- /dev/null
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -0,0 +1,475 @@
+package gorserill.protocol.faktory;
+
+import barrowflow.Dispatcher.Worker;
+import barrowflow.Dispatcher.WorkerState;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import gorserill.common.Deadlines.Deadline;
+import gorserill.common.Loop;
+import gorserill.protocol.ClassTerms;
+import gorserill.protocol.faktory.FaktoryCodec.FrameException;
+import gorserill.routing.Core;
+import gorserill.routing.Front;
+import gorserill.routing.Work;
+import gorserill.transport.Channel;
+import gorserill.transport.Peer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The Faktory work protocol in front of the core: clients' PUSHes are requests, worker processes are workers.
+ * There is no disk, so a PUSH is answered when its fate is known: +OK where it was served, else -ERR.
+ */
+public final class FaktoryFront {
+    private static final Logger LOG = Logger.getLogger(FaktoryFront.class.getName());
+    private static final int VERSION = 2;
+    private static final int ITERATIONS = 1_545;
+    private static final int MAX_WAITING = 64;
+    /** A FETCH waits so long for a job; a connection may stay silent for a minute, as Faktory has it. */
+    private static final long FETCH = 2_000_000;
+    private static final long SILENCE = 60_000_000;
+    /** Workers that come by themselves are numbered from here, clear of discovery's. */
+    private static final long FIRST_WORKER = 1L << 40;
+    /** No Faktory worker promises to drop repeats, so each is a zone of its own to the decision module. */
+    private static final int FIRST_ZONE = 1 << 16;
+    private static final int ANY_KIND = 255;
+    /** Fates of unsafe jobs are remembered by jid, the last so many. */
+    private static final int FATES = 4_096;
+
+    private final Loop loop;
+    private final Core core;
+    private final FaktoryTerms terms;
+    private final SplittableRandom random;
+    private final long startedAt;
+    private final Set<Session> sessions = new HashSet<>();
+    private final Map<String, Member> members = new HashMap<>();
+    private final Set<String> open = new HashSet<>();
+    /** Danger: a client that lost its connection pushes the job again; an unsafe one must not run twice. */
+    private final Map<String, Boolean> servedByJid = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > FATES;
+        }
+    };
+    private long workers;
+    private long processed;
+    private long failures;
+    private long commands;
+    private boolean draining;
+
+    private static final class Member {
+        final FaktoryWorker worker;
+        final Set<Session> sessions = new HashSet<>();
+        WorkerState state = WorkerState.READY;
+
+        Member(FaktoryWorker worker) {
+            this.worker = worker;
+        }
+    }
+
+    public FaktoryFront(Loop loop, Core core, FaktoryTerms terms, long seed) {
+        this.loop = loop;
+        this.core = core;
+        this.terms = terms;
+        random = new SplittableRandom(seed);
+        startedAt = loop.now();
+    }
+
+    /** A peer for a connection just accepted. */
+    public Peer accept() {
+        return new Session();
+    }
+
+    /** From now on workers are told to end, and get nothing new. */
+    public void drain() {
+        draining = true;
+        for (Session session : List.copyOf(sessions)) {
+            session.endFetch();
+        }
+    }
+
+    /** Ends the connections on which no answer is owed. */
+    public void closeIdle() {
+        for (Session session : List.copyOf(sessions)) {
+            if (session.push == null && session.member == null) {
+                session.channel.close();
+            }
+        }
+    }
+
+    private void tell(Member member) {
+        FaktoryWorker worker = member.worker;
+        int zone = FIRST_ZONE + (int) (worker.id - FIRST_WORKER);
+        core.guest(new Worker(worker.id, ANY_KIND, zone, 0, member.state, 0), worker);
+    }
+
+    private static String digest(String password, String salt, int iterations) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            byte[] hash = sha.digest((password + salt).getBytes(StandardCharsets.UTF_8));
+            for (int i = 1; i < iterations; i++) {
+                hash = sha.digest(hash);
+            }
+            return HexFormat.of().formatHex(hash);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A connection, of a client, a worker or both; its commands are carried out one after another. */
+    private final class Session implements Peer, FaktoryWorker.Fetcher {
+        private final Deque<String> waiting = new ArrayDeque<>();
+        private final String salt = Long.toHexString(random.nextLong());
+        private Channel channel;
+        private boolean known;
+        private boolean ended;
+        private Member member;
+        private Push push;
+        private List<String> queues = List.of();
+        private Deadline fetch;
+        private Deadline silence;
+
+        @Override
+        public void opened(Channel opened) {
+            channel = opened;
+            sessions.add(this);
+            heard();
+            channel.write(Replies.simple("HI {\"v\":" + VERSION + (terms.password().isEmpty() ? "}"
+                : ",\"s\":\"" + salt + "\",\"i\":" + ITERATIONS + "}")));
+        }
+
+        private void heard() {
+            loop.cancel(silence);
+            silence = loop.at(loop.now() + SILENCE, () -> {
+                if (push == null) {
+                    LOG.log(Level.INFO, "faktory connection {0}: silent for a minute, closed",
+                        channel.number());
+                    channel.close();
+                } else {
+                    heard();
+                }
+            });
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public void received(Object messages) {
+            heard();
+            for (Object message : (List<Object>) messages) {
+                if (message instanceof FrameException broken) {
+                    waiting.clear();
+                    refuse(broken.getMessage(), true);
+                } else if (waiting.size() >= MAX_WAITING) {
+                    refuse("more than " + MAX_WAITING + " commands without waiting for their replies", true);
+                } else {
+                    waiting.add((String) message);
+                }
+            }
+            next();
+        }
+
+        private void next() {
+            while (!ended && push == null && fetch == null && !waiting.isEmpty()) {
+                String line = waiting.remove();
+                int space = line.indexOf(' ');
+                commands++;
+                try {
+                    command(space < 0 ? line : line.substring(0, space),
+                        space < 0 ? "" : line.substring(space + 1).trim());
+                } catch (IOException e) {
+                    refuse("malformed " + (space < 0 ? line : line.substring(0, space)) + ": "
+                        + e.getMessage().lines().findFirst().orElse(""), false);
+                }
+            }
+        }
+
+        private void command(String verb, String rest) throws IOException {
+            if (verb.equals("END")) {
+                end();
+            } else if (verb.equals("HELLO")) {
+                hello(rest);
+            } else if (!known) {
+                refuse("say HELLO first", true);
+            } else if (verb.equals("PUSH")) {
+                push(FaktoryJob.parse(rest), rest);
+            } else if (verb.equals("INFO")) {
+                channel.write(Replies.bulk(info()));
+            } else if (!Set.of("FETCH", "ACK", "FAIL", "BEAT").contains(verb)) {
+                refuse("unknown command " + verb, false);
+            } else if (member == null) {
+                refuse(verb + " is for workers; HELLO told no wid", false);
+            } else {
+                work(verb, rest);
+            }
+        }
+
+        private void work(String verb, String rest) throws IOException {
+            if (verb.equals("FETCH")) {
+                fetch(rest);
+            } else if (verb.equals("BEAT")) {
+                beat(rest);
+            } else {
+                String jid = FaktoryJob.field(rest, "jid");
+                if (jid == null) {
+                    refuse(verb + " needs a jid", false);
+                    return;
+                }
+                channel.write(Replies.OK);
+                if (verb.equals("ACK")) {
+                    member.worker.ack(jid);
+                } else {
+                    LOG.log(Level.INFO, "faktory worker {0} failed job {1}", new Object[] {
+                        member.worker.wid, jid});
+                    member.worker.fail(jid);
+                }
+            }
+        }
+
+        private void hello(String rest) throws IOException {
+            String wid = FaktoryJob.field(rest, "wid");
+            String version = FaktoryJob.field(rest, "v");
+            if (known) {
+                refuse("HELLO was said before", false);
+            } else if (version != null && !version.equals(Integer.toString(VERSION))) {
+                refuse("protocol version " + version + " is not spoken here, " + VERSION + " is", true);
+            } else if (!terms.password().isEmpty() && !MessageDigest.isEqual(
+                digest(terms.password(), salt, ITERATIONS).getBytes(StandardCharsets.UTF_8),
+                String.valueOf(FaktoryJob.field(rest, "pwdhash")).getBytes(StandardCharsets.UTF_8))) {
+                refuse("invalid password", true);
+            } else {
+                known = true;
+                channel.write(Replies.OK);
+                if (wid != null && !wid.isEmpty()) {
+                    join(wid);
+                }
+            }
+        }
+
+        private void join(String wid) {
+            member = members.get(wid);
+            if (member == null) {
+                member = new Member(new FaktoryWorker(loop, terms, wid, FIRST_WORKER + workers++));
+                members.put(wid, member);
+                LOG.log(Level.INFO, "faktory worker {0} joined", wid);
+                tell(member);
+            }
+            member.sessions.add(this);
+        }
+
+        private void push(FaktoryJob job, String text) {
+            ClassTerms of = terms.classOf(job);
+            Boolean served = servedByJid.get(job.jid());
+            if (of == null) {
+                refuse("neither queue " + job.queue() + " nor job type " + job.jobtype() + " is bound here",
+                    false);
+            } else if (job.at() != null) {
+                refuse("jobs for later are not kept here", false);
+            } else if (of.keyed() && job.idempotencyKey() == null) {
+                refuse("jobs of this class need custom.idempotency_key", false);
+            } else if (open.contains(job.jid())) {
+                refuse("job " + job.jid() + " is in progress", false);
+            } else if (served != null) {
+                LOG.log(Level.INFO, "job {0} was pushed again; not run again", job.jid());
+                channel.write(served ? Replies.OK : Replies.error("failed: it may have run before"));
+            } else {
+                long left = job.remainingMs() < 0 ? of.deadline()
+                    : Math.min(of.deadline(), job.remainingMs() * 1_000);
+                Push taken = new Push(this, job.jid(), of.unsafe());
+                push = taken;
+                open.add(job.jid());
+                long handle = core.take(taken, new Work(job.jid(), of.index(), null, job.idempotencyKey(),
+                    FaktoryJob.MEDIA_TYPE, text.getBytes(StandardCharsets.UTF_8)), loop.now(), left, 0, 0,
+                    job.slots(), 0);
+                taken.handle = handle;
+            }
+        }
+
+        private void fetch(String rest) {
+            queues = rest.isEmpty() ? List.of(FaktoryJob.DEFAULT_QUEUE) : List.of(rest.split(" +"));
+            if (draining || member.state != WorkerState.READY) {
+                channel.write(Replies.NULL);
+                return;
+            }
+            fetch = loop.at(loop.now() + FETCH, this::endFetch);
+            member.worker.fetch(this);
+        }
+
+        void endFetch() {
+            if (fetch != null) {
+                loop.cancel(fetch);
+                fetch = null;
+                member.worker.unfetch(this);
+                channel.write(Replies.NULL);
+                next();
+            }
+        }
+
+        @Override
+        public List<String> queues() {
+            return queues;
+        }
+
+        @Override
+        public BooleanSupplier handOut(byte[] unit) {
+            loop.cancel(fetch);
+            fetch = null;
+            Channel.Sending sending = channel.write(Replies.bulk(unit));
+            loop.execute(this::next);
+            return sending::written;
+        }
+
+        private void beat(String rest) throws IOException {
+            String wid = FaktoryJob.field(rest, "wid");
+            String state = FaktoryJob.field(rest, "current_state");
+            if (!member.worker.wid.equals(wid)) {
+                refuse("BEAT of another worker, " + wid, false);
+                return;
+            }
+            boolean quiet = "quiet".equals(state) || "terminate".equals(state);
+            if (quiet && member.state == WorkerState.READY) {
+                LOG.log(Level.INFO, "faktory worker {0} is {1}: nothing new goes there",
+                    new Object[] {wid, state});
+                member.state = WorkerState.DRAINING;
+                tell(member);
+            }
+            channel.write(draining ? Replies.TERMINATE : Replies.OK);
+        }
+
+        private byte[] info() {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            try (JsonGenerator json = new JsonFactory().createGenerator(out)) {
+                json.writeStartObject();
+                json.writeStringField("server_utc_time", Instant.now().toString());
+                json.writeObjectFieldStart("faktory");
+                json.writeNumberField("total_enqueued", open.size());
+                json.writeNumberField("total_processed", processed);
+                json.writeNumberField("total_failures", failures);
+                json.writeNumberField("total_queues", terms.queues().size());
+                json.writeEndObject();
+                json.writeObjectFieldStart("server");
+                json.writeStringField("description", "gorserill");
+                json.writeNumberField("connections", sessions.size());
+                json.writeNumberField("workers", members.size());
+                json.writeNumberField("command_count", commands);
+                json.writeNumberField("uptime", (loop.now() - startedAt) / 1_000_000);
+                json.writeEndObject();
+                json.writeEndObject();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return out.toByteArray();
+        }
+
+        private void refuse(String why, boolean last) {
+            LOG.log(Level.WARNING, "faktory connection {0}: -ERR {1}", new Object[] {channel.number(), why});
+            if (last) {
+                ended = true;
+                channel.writeAndClose(Replies.error(why));
+            } else {
+                channel.write(Replies.error(why));
+            }
+        }
+
+        private void end() {
+            ended = true;
+            channel.close();
+        }
+
+        @Override
+        public void closed() {
+            ended = true;
+            sessions.remove(this);
+            loop.cancel(silence);
+            loop.cancel(fetch);
+            if (push != null) {
+                push.abandon();
+            }
+            if (member != null) {
+                member.worker.dropped(this);
+                member.sessions.remove(this);
+                if (member.sessions.isEmpty()) {
+                    members.remove(member.worker.wid);
+                    LOG.log(Level.INFO, "faktory worker {0} left", member.worker.wid);
+                    member.state = WorkerState.GONE;
+                    tell(member);
+                    member.worker.leave();
+                }
+            }
+        }
+    }
+
+    /** A pushed job that waits for its one final answer. */
+    private final class Push implements Front {
+        private final Session session;
+        private final String jid;
+        private final boolean unsafe;
+        private long handle;
+
+        Push(Session session, String jid, boolean unsafe) {
+            this.session = session;
+            this.jid = jid;
+            this.unsafe = unsafe;
+        }
+
+        @Override
+        public void served(byte[] result) {
+            processed++;
+            remember(true);
+            answer(Replies.OK);
+        }
+
+        @Override
+        public void refused(long waitMicros) {
+            failures++;
+            answer(Replies.error("refused: not run, try again in " + (waitMicros + 999) / 1_000 + " ms"));
+        }
+
+        @Override
+        public void failed() {
+            failures++;
+            remember(false);
+            answer(Replies.error("failed: it may have run"));
+        }
+
+        private void remember(boolean served) {
+            if (unsafe) {
+                servedByJid.put(jid, served);
+            }
+        }
+
+        private void answer(byte[] reply) {
+            open.remove(jid);
+            session.push = null;
+            session.channel.write(reply);
+            loop.execute(session::next);
+        }
+
+        /** The client has left without waiting; whether it ran nobody will be told. */
+        void abandon() {
+            open.remove(jid);
+            if (core.withdraw(handle)) {
+                remember(false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
@@ -0,0 +1,140 @@
+package gorserill.protocol.faktory;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import gorserill.routing.Work;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A work unit of the protocol, as far as the node reads it. What a client may add under {@code custom}:
+ * {@code remaining_ms}, {@code idempotency_key}, {@code slots}.
+ *
+ * @param reserveFor seconds; 0 where not told
+ * @param at when to run it; null for now
+ */
+record FaktoryJob(String jid, String jobtype, String queue, long reserveFor, String at, long remainingMs,
+                  String idempotencyKey, double slots) {
+    /** The type of a body that is a whole work unit. */
+    static final String MEDIA_TYPE = "application/vnd.faktory.job+json";
+    static final String DEFAULT_QUEUE = "default";
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int SHORTEST_JID = 8;
+
+    /** @throws IOException which says what is missing or unreadable */
+    static FaktoryJob parse(String text) throws IOException {
+        String jid = null;
+        String jobtype = null;
+        String queue = DEFAULT_QUEUE;
+        boolean args = false;
+        long reserveFor = 0;
+        String at = null;
+        long remaining = -1;
+        String key = null;
+        double slots = 1;
+        try (JsonParser json = open(text)) {
+            while (json.nextToken() != JsonToken.END_OBJECT) {
+                String field = json.currentName();
+                JsonToken value = json.nextToken();
+                switch (field) {
+                    case "jid" -> jid = json.getValueAsString();
+                    case "jobtype" -> jobtype = json.getValueAsString();
+                    case "queue" -> queue = json.getValueAsString(DEFAULT_QUEUE);
+                    case "reserve_for" -> reserveFor = json.getValueAsLong();
+                    case "at" -> at = json.getValueAsString();
+                    case "args" -> {
+                        args = value == JsonToken.START_ARRAY;
+                        json.skipChildren();
+                    }
+                    case "custom" -> {
+                        while (value == JsonToken.START_OBJECT && json.nextToken() != JsonToken.END_OBJECT) {
+                            String name = json.currentName();
+                            json.nextToken();
+                            switch (name) {
+                                case "remaining_ms" -> remaining = json.getValueAsLong(-1);
+                                case "idempotency_key" -> key = json.getValueAsString();
+                                case "slots" -> slots = json.getValueAsDouble(1);
+                                default -> json.skipChildren();
+                            }
+                        }
+                        json.skipChildren();
+                    }
+                    default -> json.skipChildren();
+                }
+            }
+            if (json.nextToken() != null) {
+                throw new IOException("more than one object");
+            }
+        }
+        if (jid == null || jid.length() < SHORTEST_JID) {
+            throw new IOException("jid must be a text of " + SHORTEST_JID + " characters or more");
+        } else if (jobtype == null || jobtype.isEmpty()) {
+            throw new IOException("jobtype is missing");
+        } else if (!args) {
+            throw new IOException("args must be a list");
+        } else if (!(slots >= 0 && slots < 1e6)) {
+            throw new IOException("custom.slots is out of range");
+        }
+        return new FaktoryJob(jid, jobtype, queue, reserveFor, at, remaining, key, slots);
+    }
+
+    /** A text field of an object, such as the jid of an ACK; null where it has none. */
+    static String field(String text, String name) throws IOException {
+        String found = null;
+        try (JsonParser json = open(text)) {
+            while (json.nextToken() != JsonToken.END_OBJECT) {
+                String field = json.currentName();
+                json.nextToken();
+                found = field.equals(name) ? json.getValueAsString() : found;
+                json.skipChildren();
+            }
+        }
+        return found;
+    }
+
+    private static JsonParser open(String text) throws IOException {
+        JsonParser json = JSON.createParser(text);
+        if (json.nextToken() != JsonToken.START_OBJECT) {
+            json.close();
+            throw new IOException("not a JSON object");
+        }
+        return json;
+    }
+
+    /** The work unit that a worker of this protocol gets for work of any origin. */
+    static byte[] unit(Work work, String queue, String jobtype) {
+        if (MEDIA_TYPE.equals(work.contentType())) {
+            return work.body();
+        }
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            json.writeStartObject();
+            json.writeStringField("jid", work.id());
+            json.writeStringField("queue", queue);
+            json.writeStringField("jobtype", jobtype);
+            json.writeArrayFieldStart("args");
+            json.writeString(new String(work.body(), StandardCharsets.UTF_8));
+            json.writeEndArray();
+            // What fails here is the core's to try again: a worker must not do it on its own.
+            json.writeNumberField("retry", 0);
+            json.writeObjectFieldStart("custom");
+            json.writeStringField("route", work.route());
+            if (work.contentType() != null) {
+                json.writeStringField("content_type", work.contentType());
+            }
+            if (work.effectKey() != null) {
+                json.writeStringField("idempotency_key", work.effectKey());
+            }
+            json.writeEndObject();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+}
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -2,6 +2,7 @@
 
 import gorserill.common.Deadlines.Deadline;
 import gorserill.common.Loop;
+import gorserill.protocol.ClassTerms;
 import gorserill.routing.Core;
 import gorserill.routing.Front;
 import gorserill.routing.Work;
@@ -10,10 +11,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.HashSet;
+import java.util.function.BooleanSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -27,19 +30,16 @@
     private static final long IDLE = 60_000_000;
     private static final long ON_ITS_WAY = 10_000_000;
 
-    /** What the front is told of the classes: name, time limit in microseconds, need of a key. */
-    public record ClassTerms(int index, long deadline, boolean keyed) { }
-
     private final Loop loop;
     private final Core core;
     private final Map<String, ClassTerms> classes;
-    private final java.util.function.BooleanSupplier crowded;
+    private final BooleanSupplier crowded;
     private final Set<Client> clients = new HashSet<>();
     private boolean ready;
     private boolean draining;
 
     public HttpFront(Loop loop, Core core, Map<String, ClassTerms> classes,
-                     java.util.function.BooleanSupplier crowded) {
+                     BooleanSupplier crowded) {
         this.loop = loop;
         this.core = core;
         this.classes = classes;
@@ -228,6 +228,6 @@
     private static String decimal(long micros) {
         long millis = (micros + 999) / 1_000;
         return millis % 1_000 == 0 ? Long.toString(millis / 1_000)
-            : String.format(java.util.Locale.ROOT, "%d.%03d", millis / 1_000, millis % 1_000);
+            : String.format(Locale.ROOT, "%d.%03d", millis / 1_000, millis % 1_000);
     }
 }
--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -80,6 +80,7 @@
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Transport.Connecting connecting;
         private Channel channel;
+        private Channel.Sending sending;
         private Deadline deadline;
         private Attempt attempt;
         private Work work;
@@ -111,7 +112,7 @@
             String target = work.route() != null ? work.route()
                 : "/" + terms.classNames().get(work.jobClass());
             long left = Math.max(1, (expires - terms.loop().now()) / 1_000);
-            channel.write(HttpWriter.request("POST", target, name).header("X-Txn", work.id())
+            sending = channel.write(HttpWriter.request("POST", target, name).header("X-Txn", work.id())
                 .header("X-Lane", terms.classNames().get(work.jobClass())).header("X-Remaining-Ms", left)
                 .header("Idempotency-Key", work.effectKey()).header("Content-Type", work.contentType())
                 .bytes(work.body()));
@@ -142,7 +143,7 @@
             if (!shut) {
                 shut();
                 // Before the request's last byte was written the job can't have run; after it, it may have.
-                finish(channel.written() ? Outcome.RESET : Outcome.CONNECT_FAILED, null, Load.NONE);
+                finish(sending.written() ? Outcome.RESET : Outcome.CONNECT_FAILED, null, Load.NONE);
             }
         }
 
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -67,14 +67,16 @@
         return request.handle;
     }
 
-    /** The client has left. */
-    public void withdraw(long handle) {
+    /** The client has left. Gives whether the job may have run, or may yet. */
+    public boolean withdraw(long handle) {
         Request request = requests.get(handle);
-        if (request != null && !request.over) {
-            conclude(request);
-            module.withdrawn(now(), handle);
-            release(request);
+        if (request == null || request.over) {
+            return false;
         }
+        conclude(request);
+        module.withdrawn(now(), handle);
+        release(request);
+        return !provedNeverRun(request);
     }
 
     /** The worker list, or changes to it, as discovery tells them. */
@@ -96,6 +98,9 @@
             ports.put(worker.id(), port);
         }
         module.workers(now(), ListKind.CHANGES, List.of(worker));
+        if (worker.state() == WorkerState.GONE) {
+            ports.remove(worker.id());
+        }
     }
 
     /** Calls back once no request is open; new ones may still come before that. */
@@ -123,7 +128,7 @@
         }
         Request request = attempt.request;
         request.out--;
-        attempt.neverRan = outcome.neverRan;
+        attempt.neverRan |= outcome.neverRan;
         // The answer goes out before the module learns of it: it waits for nobody's bookkeeping.
         if (outcome == Outcome.SERVED && !request.over) {
             conclude(request);
@@ -204,7 +209,7 @@
         if (request != null && number < request.attempts.size()) {
             Attempt attempt = request.attempts.get(number);
             if (attempts.get(attempt.handle) != null) {
-                attempt.port.callOff(attempt);
+                attempt.neverRan = attempt.port.callOff(attempt);
                 // Its outcome comes as an event of its own: the module is in the middle of a call.
                 loop.execute(() -> ended(attempt, Outcome.CANCELLED, null, Load.NONE));
             }
--- a/src/main/java/gorserill/transport/Channel.java
+++ b/src/main/java/gorserill/transport/Channel.java
@@ -9,16 +9,27 @@
     private final Connection<Object> connection;
     final Peer peer;
     long handle;
-    private volatile boolean written = true;
 
     Channel(Connection<Object> connection, Peer peer) {
         this.connection = connection;
         this.peer = peer;
     }
 
+    /** A message on its way out. */
+    public static final class Sending {
+        private volatile boolean written;
+
+        private Sending() { }
+
+        /** Whether its last byte has been written to the socket. */
+        public boolean written() {
+            return written;
+        }
+    }
+
     /** Sends a message that the chain's codec can encode. */
-    public void write(Object message) {
-        send(message, false);
+    public Sending write(Object message) {
+        return send(message, false);
     }
 
     /** Sends a last message, then closes. */
@@ -26,14 +37,14 @@
         send(message, true);
     }
 
-    private void send(Object message, boolean last) {
-        written = false;
+    private Sending send(Object message, boolean last) {
+        Sending sending = new Sending();
         // Only completed() proves that the last byte left: a write that is refused at once, say on a
         // connection closed a moment ago, must not count as sent.
         connection.write(message, new EmptyCompletionHandler<WriteResult<Object, Object>>() {
             @Override
             public void completed(WriteResult<Object, Object> result) {
-                written = true;
+                sending.written = true;
                 if (last) {
                     connection.closeSilently();
                 }
@@ -44,11 +55,7 @@
                 connection.terminateSilently();
             }
         });
-    }
-
-    /** Whether the last byte of what was sent last has been written to the socket. */
-    public boolean written() {
-        return written;
+        return sending;
     }
 
     /** Closes at once, dropping what is not yet written. */
