Scenario tests for both fronts, descriptions bound to classes, lawful late answers

Seen: with clients of different patience, jobs of the less patient were refused at once. Cause: Choice.request() takes a request with less time left than the longest seen in its class for a late retry (longestTry, age), and hopeless() gives it up. The core now tells the module the class's time unless the client marks its repeat, and keeps the client's own time itself: attempts end there, and what the module still holds is refused where nothing can have run, else failed.

OpenAPI and AsyncAPI descriptions bind operations and queues to classes; a faulty one ends the start with its key. The platform runs without them.

--- a/src/main/java/gorserill/program/FaktoryConfig.java
+++ b/src/main/java/gorserill/program/FaktoryConfig.java
@@ -36,7 +36,11 @@
         } else if (!values.containsKey("listen")) {
             throw new ConfigException(file + ": listen", "is missing");
         }
-        Map<String, String> queues = bound(file, values, "queues", classes);
+        Map<String, String> queues = new LinkedHashMap<>();
+        if (values.containsKey("asyncapi")) {
+            queues.putAll(Descriptions.asyncApi(file.resolveSibling(values.get("asyncapi")), classes));
+        }
+        queues.putAll(bound(file, values, "queues", classes));
         Map<String, String> jobtypes = bound(file, values, "jobtypes", classes);
         if (queues.isEmpty() && jobtypes.isEmpty()) {
             throw new ConfigException(file + ": queues", "is missing, and so is jobtypes: nothing is bound");
--- a/src/main/java/gorserill/program/Flattener.java
+++ b/src/main/java/gorserill/program/Flattener.java
@@ -15,12 +15,20 @@
  */
 final class Flattener {
     private final Map<String, String> values = new TreeMap<>();
+    private final String separator;
 
-    private Flattener() { }
+    private Flattener(String separator) {
+        this.separator = separator;
+    }
 
     /** Reads the value that is the parser's present token. */
     static Map<String, String> flatten(JsonParser json) throws IOException {
-        Flattener flattener = new Flattener();
+        return flatten(json, ".");
+    }
+
+    /** The same with another text between the names of a path. */
+    static Map<String, String> flatten(JsonParser json, String separator) throws IOException {
+        Flattener flattener = new Flattener(separator);
         flattener.value(json, "");
         return flattener.values;
     }
@@ -31,7 +39,7 @@
                 while (json.nextToken() != JsonToken.END_OBJECT) {
                     String name = json.currentName();
                     json.nextToken();
-                    value(json, path.isEmpty() ? name : path + "." + name);
+                    value(json, path.isEmpty() ? name : path + separator + name);
                 }
             }
             case START_ARRAY -> list(json, path);
@@ -45,13 +53,13 @@
         int objects = 0;
         while (json.nextToken() != JsonToken.END_ARRAY) {
             if (json.currentToken().isStructStart()) {
-                value(json, path + "." + objects++);
+                value(json, path + separator + objects++);
             } else {
                 plain.add(plain(json));
             }
         }
         if (objects > 0) {
-            values.put(path + ".count", Integer.toString(objects));
+            values.put(path + separator + "count", Integer.toString(objects));
         } else {
             values.put(path, String.join(",", plain));
         }
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -63,7 +63,7 @@
         if (config.faktory != null) {
             faktory = new FaktoryFront(loop, core, config.faktory, config.seed);
         }
-        front = new HttpFront(loop, core, config.classTerms(), transport::crowded);
+        front = new HttpFront(loop, core, config.classTerms(), config.operations, transport::crowded);
         if (config.known != null) {
             fleet.tell(core, ListKind.CACHED, config.known);
         }
@@ -124,6 +124,11 @@
     void awaitEnd() throws InterruptedException {
         done.await();
         LOG.log(Level.INFO, "{0} ends, {1} requests open", new Object[] {config.name, core.openRequests()});
+        stop();
+    }
+
+    /** Lets go of everything at once. */
+    void stop() {
         transport.stop();
         loop.stop();
     }
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -11,6 +11,7 @@
 import gorserill.protocol.discovery.Listing;
 import gorserill.protocol.faktory.FaktoryTerms;
 import gorserill.protocol.http.LoadNames;
+import gorserill.protocol.http.Operations;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -42,11 +43,13 @@
     final long connectionIdle;
     /** Null where the front is off. */
     final FaktoryTerms faktory;
+    /** Null where no description binds the HTTP front: then its paths are the classes' names. */
+    final Operations operations;
 
     private final Map<String, String> values;
 
-    private NodeConfig(Map<String, String> top, Map<String, String> values, Listing known, Path faktoryFile)
-        throws ConfigException {
+    private NodeConfig(Map<String, String> top, Map<String, String> values, Listing known,
+                       Map<String, String> environment) throws ConfigException {
         this.values = values;
         this.known = known;
         name = top.getOrDefault("name", "node");
@@ -77,7 +80,10 @@
         reports = new LoadNames(reportName(parser, "free_slots"), reportName(parser, "free_memory"));
         connectTimeout = (long) number(values, "caps.connect_timeout_us", 250_000);
         connectionIdle = (long) number(values, "caps.conn_idle_us", 15_000_000);
-        faktory = FaktoryConfig.read(faktoryFile, classNames, classTerms());
+        faktory = FaktoryConfig.read(Path.of(environment.getOrDefault("GORSERILL_FAKTORY",
+            "deploy/faktory.json")), classNames, classTerms());
+        String openApi = environment.get("GORSERILL_OPENAPI");
+        operations = openApi == null ? null : Descriptions.openApi(Path.of(openApi), classTerms());
     }
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
@@ -121,8 +127,7 @@
                 default -> { }
             }
         });
-        return new NodeConfig(top, settings, known,
-            Path.of(environment.getOrDefault("GORSERILL_FAKTORY", "deploy/faktory.json")));
+        return new NodeConfig(top, settings, known, environment);
     }
 
     /** What the fronts need to know of the classes, by name. */
@@ -195,7 +200,9 @@
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
-            return colon < 1 ? null : new InetSocketAddress(text.substring(0, colon), port);
+            InetSocketAddress address =
+                colon < 1 ? null : new InetSocketAddress(text.substring(0, colon), port);
+            return address == null || address.isUnresolved() ? null : address;
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -8,6 +8,7 @@
 import gorserill.common.Loop;
 import gorserill.protocol.ClassTerms;
 import gorserill.protocol.faktory.FaktoryCodec.FrameException;
+import gorserill.routing.Ask;
 import gorserill.routing.Core;
 import gorserill.routing.Front;
 import gorserill.routing.Work;
@@ -298,8 +299,8 @@
                 push = taken;
                 open.add(job.jid());
                 long handle = core.take(taken, new Work(job.jid(), of.index(), null, job.idempotencyKey(),
-                    FaktoryJob.MEDIA_TYPE, text.getBytes(StandardCharsets.UTF_8)), loop.now(), left, 0, 0,
-                    job.slots(), 0);
+                    FaktoryJob.MEDIA_TYPE, text.getBytes(StandardCharsets.UTF_8)),
+                    new Ask(loop.now(), left, false, 0, 0, job.slots(), 0));
                 taken.handle = handle;
             }
         }
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -3,6 +3,7 @@
 import gorserill.common.Deadlines.Deadline;
 import gorserill.common.Loop;
 import gorserill.protocol.ClassTerms;
+import gorserill.routing.Ask;
 import gorserill.routing.Core;
 import gorserill.routing.Front;
 import gorserill.routing.Work;
@@ -28,21 +29,23 @@
     private static final int MAX_ID = 128;
     /** A connection may stand idle, or a request be on its way, for so long. */
     private static final long IDLE = 60_000_000;
-    private static final long ON_ITS_WAY = 10_000_000;
 
     private final Loop loop;
     private final Core core;
     private final Map<String, ClassTerms> classes;
+    private final Operations operations;
     private final BooleanSupplier crowded;
     private final Set<Client> clients = new HashSet<>();
     private boolean ready;
     private boolean draining;
 
-    public HttpFront(Loop loop, Core core, Map<String, ClassTerms> classes,
+    /** @param operations of the description that binds the front; null for none */
+    public HttpFront(Loop loop, Core core, Map<String, ClassTerms> classes, Operations operations,
                      BooleanSupplier crowded) {
         this.loop = loop;
         this.core = core;
         this.classes = classes;
+        this.operations = operations;
         this.crowded = crowded;
     }
 
@@ -136,22 +139,36 @@
         private void dispatch(HttpRequest request) {
             HttpHead head = request.head();
             String path = head.second().split("\\?", 2)[0];
-            if (path.equals("/healthz")) {
+            if (path.equals("/healthz") && head.first().equals("GET")) {
                 boolean up = ready && !draining;
                 respond(HttpWriter.answer(up ? 200 : 503), NOTHING);
             } else if (!head.first().equals("POST")) {
                 reject(head.first().equals("GET") ? 404 : 405, "no such thing: " + head.first() + " " + path,
                     false);
+            } else if (operations == null) {
+                int slash = path.indexOf('/', 1);
+                String part = path.substring(1, slash < 0 ? path.length() : slash);
+                submit(request, head.headers().getOrDefault("x-lane", part));
             } else {
-                submit(request, path);
+                bound(request, path);
             }
         }
 
-        private void submit(HttpRequest request, String path) {
+        private void bound(HttpRequest request, String path) {
+            Operations.Operation operation = operations.find("POST", path);
+            String lane = request.head().header("x-lane");
+            if (operation == null) {
+                reject(operations.knows(path) ? 405 : 404, "no such operation: POST " + path, false);
+            } else if (lane != null && !lane.equals(operation.jobClass())) {
+                reject(400, "X-Lane says " + lane + ", but " + path + " is for " + operation.jobClass(),
+                    false);
+            } else {
+                submit(request, operation.jobClass());
+            }
+        }
+
+        private void submit(HttpRequest request, String lane) {
             HttpHead head = request.head();
-            int slash = path.indexOf('/', 1);
-            String part = path.substring(1, slash < 0 ? path.length() : slash);
-            String lane = head.headers().getOrDefault("x-lane", part);
             ClassTerms terms = classes.get(lane);
             String id = head.header("x-txn");
             String effectKey = head.header("idempotency-key");
@@ -172,8 +189,9 @@
                         head.header("content-type"), request.body());
                     // The handle is known only when take() returns; the answer may come before that.
                     HttpRequest asked = current;
-                    long taken = core.take(this, work, request.arrived(), left, 0, labels.key(),
-                        labels.number("slots", "width", 1), labels.number("memory", "ram_units", 0));
+                    long taken = core.take(this, work, new Ask(request.arrived(), left,
+                        "1".equals(head.header("x-resent")), 0, labels.key(),
+                        labels.number("slots", "width", 1), labels.number("memory", "ram_units", 0)));
                     handle = current == asked ? taken : handle;
                 } catch (NumberFormatException e) {
                     reject(400, "an unreadable number in the headers: " + e.getMessage(), false);
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -48,11 +48,10 @@
 
     // ---- what comes in ----
 
-    /** Takes a request, whose last byte came at {@code arrived}; gives its handle. */
-    public long take(Front front, Work work, long arrived, long timeLeft, int tenant, long key, double slots,
-                     double memory) {
+    /** Takes a request; gives its handle. */
+    public long take(Front front, Work work, Ask ask) {
         long now = now();
-        long expires = arrived + timeLeft;
+        long expires = ask.arrived() + ask.timeLeft();
         Request request = new Request(front, work, expires);
         request.handle = requests.add(request);
         open++;
@@ -63,7 +62,12 @@
             return request.handle;
         }
         request.deadline = loop.at(expires, () -> expire(request));
-        module.request(now, request.handle, work.jobClass(), tenant, key, expires - now, slots, memory);
+        // Danger: the module takes whoever waits for less than others for one who asks again late, and gives
+        // up on the job. Only a client that says so does; the core itself keeps the client's own time.
+        long deadline = settings.classes().get(work.jobClass()).deadline();
+        long told = ask.repeat() ? ask.timeLeft() : Math.max(ask.timeLeft(), deadline);
+        module.request(now, request.handle, work.jobClass(), ask.tenant(), ask.key(), told, ask.slots(),
+            ask.memory());
         return request.handle;
     }
 
@@ -141,7 +145,7 @@
 
     /**
      * The client's time is up: attempts still out have timed out, and the module gives the final answer. What
-     * it leaves open gets one here: a request without an answer is a broken promise whoever forgot it.
+     * it would still hold gets one here: the client waits no longer, whatever the module hopes for.
      */
     private void expire(Request request) {
         for (Attempt attempt : List.copyOf(request.attempts)) {
@@ -151,10 +155,13 @@
             }
         }
         if (!request.over) {
-            LOG.log(Level.WARNING, "request {0} reached its deadline undecided; failed", request.work.id());
             conclude(request);
             module.withdrawn(now(), request.handle);
-            request.front.failed();
+            if (mayRefuse(request)) {
+                request.front.refused(settings.maxRetryAfter());
+            } else {
+                request.front.failed();
+            }
             release(request);
         }
     }
@@ -223,7 +230,7 @@
             return;
         }
         conclude(request);
-        if (provedNeverRun(request) || mayRepeat(settings.classes().get(request.work.jobClass()))) {
+        if (mayRefuse(request)) {
             request.front.refused(wait);
         } else {
             LOG.log(Level.SEVERE, "the module refused request {0}, which may have run; failed",
@@ -233,8 +240,9 @@
         release(request);
     }
 
-    private static boolean mayRepeat(JobClass of) {
-        return of.effect() == Dispatcher.Effect.SAFE
+    private boolean mayRefuse(Request request) {
+        JobClass of = settings.classes().get(request.work.jobClass());
+        return provedNeverRun(request) || of.effect() == Dispatcher.Effect.SAFE
             || of.effect() == Dispatcher.Effect.KEYED && of.group() == Dispatcher.Group.ALL;
     }
 
--- /dev/null
+++ b/src/test/java/gorserill/program/Fixture.java
@@ -0,0 +1,70 @@
+package gorserill.program;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The files and addresses that a node under test is told. */
+final class Fixture {
+    final InetSocketAddress clients = free();
+    final InetSocketAddress faktory = free();
+    final Map<String, String> environment = new HashMap<>();
+    private final Path folder = Files.createTempDirectory("gorserill");
+
+    /** @param known JSON entries of the list that the node had last */
+    Fixture(InetSocketAddress discovery, String known, int idleMillis, String faktoryFile)
+        throws IOException {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, CONFIG.formatted(text(clients), text(discovery), known,
+            idleMillis * 1_000L));
+        Path front = folder.resolve("faktory.json");
+        Files.writeString(front, faktoryFile.replace("LISTEN", text(faktory)));
+        environment.put("NODE_CONFIG", config.toString());
+        environment.put("GORSERILL_FAKTORY", front.toString());
+    }
+
+    static String endpoint(String name, InetSocketAddress address, String status) {
+        return """
+            {"name":"%s","address":"%s","zone":"a","type":"std4","group":0,"status":"%s","since_ms":0}
+            """.formatted(name, text(address), status).strip();
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    static InetSocketAddress free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    static final String FAKTORY_ON = """
+        {"enabled":true,"listen":"LISTEN","password":"secret",
+         "queues":{"alertas":"alerta","estados":"estado"},"jobtypes":{"Cerrar":"cierre"}}
+        """;
+
+    private static final String CONFIG = """
+        {"name":"n1","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+         "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+         "known":{"index":41,"snapshot":true,"endpoints":[%s]},
+         "settings":{"instances":1,"zone":0,"areas":["a","b"],"shapes":["std4"],
+          "caps":{"max_attempts":5,"may_cancel":true,"retry_after":true,"max_retry_after_us":2000000,
+                  "connect_timeout_us":250000,"conn_idle_us":%d},
+          "obligations":{"cold_from":0.13,"warm_up_us":24000000,"fall_multiple":4.0,"fall_us":2000000},
+          "registry_mode":"on_request","report":{"how":"piggyback","names":["util","eps","x0"]},
+          "domain":{"report_x0":"free slots","tells_start":true,"class_stretch":[2.5,2.0,2.5,2.0],
+                    "class_kind":[-1,-1,-1,-1]},
+          "request_classes":[
+           {"name":"estado","aim_us":400000,"deadline_us":5000000,"worth":5.0,"effect":"read_like"},
+           {"name":"historial","aim_us":400000,"deadline_us":6000000,"worth":2.0,"effect":"read_like"},
+           {"name":"alerta","aim_us":400000,"deadline_us":6000000,"worth":5.0,"effect":"non_idempotent"},
+           {"name":"cierre","aim_us":400000,"deadline_us":6000000,"worth":3.0,"effect":"idempotency_key",
+            "dedup_scope":"zone","dedup_window_us":10000000}]}}
+        """;
+}
--- /dev/null
+++ b/src/test/java/gorserill/program/ProgramTest.java
@@ -0,0 +1,114 @@
+package gorserill.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** The program as it is started in service, spoken to over sockets. */
+public class ProgramTest {
+
+    private static Process start(Fixture fixture, String... arguments) throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin/java").toString();
+        ProcessBuilder builder = new ProcessBuilder(java, "-XX:TieredStopAtLevel=1", "-cp",
+            System.getProperty("java.class.path"), "gorserill.program.Main");
+        builder.command().addAll(List.of(arguments));
+        builder.environment().putAll(fixture.environment);
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private static int end(Process program) throws InterruptedException {
+        assertTrue(program.waitFor(15, TimeUnit.SECONDS), "it did not end");
+        return program.exitValue();
+    }
+
+    /** Danger: clients still come for a while after SIGTERM, and what was taken is owed an answer. */
+    @Test
+    public void sigtermAnswersWhatIsOpenAndWhatStillComes() throws Exception {
+        try (Scenario scenario = new Scenario()) {
+            Fixture fixture = new Fixture(scenario.standIn("discovery"),
+                Fixture.endpoint("w1", scenario.standIn("w1"), "in_service") + ","
+                + Fixture.endpoint("w2", scenario.standIn("w2"), "in_service"), 15_000, Fixture.FAKTORY_ON);
+            scenario.front("clients", fixture.clients);
+            scenario.front("faktory", fixture.faktory);
+            Process program = start(fixture, "serve");
+            try {
+                scenario.call("term", program::destroy);
+                scenario.run("""
+                    D accept discovery
+                    D expect GET /v1/servers
+                    C connect clients
+                    C send JOB estado a-1 5000 open
+                    W accept w1|w2
+                    W expect open
+                    I connect clients
+                    F connect faktory
+                    F expect "s":"(?<s>\\w+)","i":(?<i>\\d+)
+                    F send HELLO secret w-1 ${s} ${i}
+                    F expect OK
+                    F send FETCH alertas\\r\\n
+                    X call term
+                    F expect@0-1500 \\$-1
+                    F send BEAT {"wid":"w-1"}\\r\\n
+                    F expect \\{"state":"terminate"\\}
+                    N connect clients
+                    N send GET /healthz HTTP/1.1\\r\\n\\r\\n
+                    N expect 503
+                    N expect <closed>
+                    I send JOB estado a-2 3000 late
+                    V accept w1|w2
+                    V expect late
+                    V send ANSWER
+                    V send LAST {"state":"done","result":"two"}
+                    I expect 200 OK.*Connection: close.*two
+                    I expect <closed>
+                    - wait 700
+                    W send ANSWER
+                    W send LAST {"state":"done","result":"one"}
+                    C expect 200 OK.*Connection: close.*one
+                    C expect <closed>
+                    """.lines().toList());
+                assertEquals(end(program), 0);
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+    }
+
+    @Test
+    public void aFaultyConfigurationEndsItWithTheKeysName() throws Exception {
+        Fixture fixture = new Fixture(Fixture.free(), "", 15_000,
+            "{\"enabled\":true,\"listen\":\"LISTEN\",\"queues\":{\"q\":\"nobody\"}}");
+        Process program = start(fixture, "serve");
+        String log = new String(program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(end(program), 2);
+        assertTrue(log.contains("queues.q: class 'nobody'"), log);
+    }
+
+    @Test
+    public void aWrongCommandLineIsToldTheRightOne() throws Exception {
+        Process program = start(new Fixture(Fixture.free(), "", 15_000, "{}"), "dance");
+        String log = new String(program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(end(program), 2);
+        assertTrue(log.contains("usage: "), log);
+    }
+
+    /** The adapter starts and answers an empty batch. */
+    @Test
+    public void theAdapterStarts() throws Exception {
+        Process program = start(new Fixture(Fixture.free(), "", 15_000, "{}"), "adapter");
+        byte[] batch = new byte[20];
+        batch[0] = 7;
+        batch[4] = 12;
+        program.getOutputStream().write(batch);
+        program.getOutputStream().close();
+        byte[] reply = program.getInputStream().readAllBytes();
+        assertEquals(end(program), 0);
+        assertEquals(reply, new byte[] {7, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0});
+    }
+}
--- /dev/null
+++ b/src/test/java/gorserill/program/Scenario.java
@@ -0,0 +1,272 @@
+package gorserill.program;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The scenario language. A line is {@code ACTOR VERB REST}; an actor is a connection.
+ *
+ * <pre>
+ * C connect clients|faktory|NAME   opens a connection to a front of the node
+ * W accept w1|w2                   waits for the node to connect to one of the stand-ins
+ * C send TEXT                      \r \n as escapes; or a macro: JOB CLASS ID MS BODY, ANSWER, EVENT JSON,
+ *                                  LAST JSON, LIST JSON, HELLO PASSWORD WID|- SALT ITERATIONS
+ * C expect REGEX                   waits until it comes; ${name} recalls what (?&lt;name&gt;...) found before
+ * C expect@FROM-TO REGEX           the same, so many milliseconds after the actor's last send
+ * C expect &lt;closed&gt;                waits for the connection's end
+ * C expect &lt;nothing&gt; MS            nothing comes for so long
+ * C close                          ends the connection; {@code reset} breaks it
+ * X refuse w1                      the stand-in refuses connections from now on
+ * X call NAME                      sets off something outside
+ * - wait MS                        lets time pass
+ * </pre>
+ */
+final class Scenario implements Closeable {
+    private static final int PATIENCE = 5_000;
+
+    /** A connection with what has come on it and was not yet expected. */
+    private static final class Actor {
+        final Socket socket;
+        final StringBuilder got = new StringBuilder();
+        long sentAt = System.nanoTime();
+
+        Actor(Socket socket) {
+            this.socket = socket;
+        }
+
+        /** Reads some more; false at the end, or once the time is over. */
+        boolean read(long untilNanos) throws IOException {
+            long left = (untilNanos - System.nanoTime()) / 1_000_000;
+            if (left <= 0) {
+                throw new SocketTimeoutException();
+            }
+            socket.setSoTimeout((int) left);
+            byte[] bytes = new byte[8192];
+            int n = socket.getInputStream().read(bytes);
+            got.append(n < 0 ? "" : new String(bytes, 0, n, StandardCharsets.ISO_8859_1));
+            return n >= 0;
+        }
+    }
+
+    private final Map<String, ServerSocket> standIns = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> fronts = new HashMap<>();
+    private final Map<String, Runnable> calls = new HashMap<>();
+    private final Map<String, Actor> actors = new HashMap<>();
+    private final Map<String, String> variables = new HashMap<>();
+
+    /** Names something outside that a scenario can set off. */
+    void call(String name, Runnable call) {
+        calls.put(name, call);
+    }
+
+    /** Opens a listener that the node may connect to. */
+    InetSocketAddress standIn(String name) throws IOException {
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        standIns.put(name, socket);
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
+    void front(String name, InetSocketAddress address) {
+        fronts.put(name, address);
+    }
+
+    void variable(String name, String value) {
+        variables.put(name, value);
+    }
+
+    void run(List<String> lines) throws IOException {
+        for (int i = 0; i < lines.size(); i++) {
+            try {
+                step(lines.get(i).trim());
+            } catch (AssertionError | IOException e) {
+                throw new AssertionError("line " + (i + 1) + ", " + lines.get(i).trim() + ": " + e, e);
+            }
+        }
+    }
+
+    private void step(String line) throws IOException {
+        String[] words = line.split(" +", 3);
+        String rest = words.length < 3 ? "" : words[2];
+        String name = words[0];
+        switch (words[1].replaceAll("@.*", "")) {
+            case "connect" -> {
+                InetSocketAddress to = fronts.get(rest);
+                actors.put(name, new Actor(new Socket(to.getAddress(), to.getPort())));
+            }
+            case "accept" -> actors.put(name, new Actor(accept(rest.split("\\|"))));
+            case "send" -> send(actors.get(name), recall(rest));
+            case "expect" -> expect(actors.get(name), words[1], recall(rest));
+            case "close" -> actors.remove(name).socket.close();
+            case "reset" -> {
+                actors.get(name).socket.setSoLinger(true, 0);
+                actors.remove(name).socket.close();
+            }
+            case "refuse" -> standIns.get(rest).close();
+            case "call" -> calls.get(rest).run();
+            case "wait" -> pause(Integer.parseInt(rest));
+            default -> throw new AssertionError("no such verb");
+        }
+    }
+
+    private static void pause(int millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private Socket accept(String[] names) throws IOException {
+        long end = System.nanoTime() + PATIENCE * 1_000_000L;
+        while (System.nanoTime() < end) {
+            for (String name : names) {
+                try {
+                    standIns.get(name).setSoTimeout(5);
+                    return standIns.get(name).accept();
+                } catch (SocketTimeoutException e) {
+                    // The next may have one.
+                }
+            }
+        }
+        throw new AssertionError("nobody connected");
+    }
+
+    private void send(Actor actor, String text) throws IOException {
+        actor.sentAt = System.nanoTime();
+        actor.socket.getOutputStream().write(message(text).getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    static String message(String text) {
+        String[] words = text.split(" ", 2);
+        String rest = words.length < 2 ? "" : words[1];
+        String chunk = Integer.toHexString(rest.length() + 1) + "\r\n" + rest + "\n\r\n";
+        return switch (words[0]) {
+            case "JOB" -> {
+                String[] job = rest.split(" ", 4);
+                yield "POST /" + job[0] + "/x?y=1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + job[1]
+                    + "\r\nX-Lane: " + job[0] + "\r\nX-Remaining-Ms: " + job[2]
+                    + "\r\nIdempotency-Key: k-" + job[1]
+                    + "\r\nContent-Length: " + job[3].length() + "\r\n\r\n" + job[3];
+            }
+            case "ANSWER" -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            case "EVENT" -> chunk;
+            case "LAST" -> chunk + "0\r\n\r\n";
+            case "HELLO" -> hello(rest.split(" "));
+            case "LIST" -> "HTTP/1.1 200 OK\r\nContent-Length: " + rest.length() + "\r\n\r\n" + rest;
+            default -> text.replace("\\r", "\r").replace("\\n", "\n");
+        };
+    }
+
+    /** @param words password, wid or -, salt, iterations */
+    private static String hello(String[] words) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            byte[] hash = (words[0] + words[2]).getBytes(StandardCharsets.UTF_8);
+            for (int i = 0; i < Integer.parseInt(words[3]); i++) {
+                hash = sha.digest(hash);
+            }
+            String wid = words[1].equals("-") ? "" : "\"wid\":\"" + words[1] + "\",";
+            return "HELLO {" + wid + "\"pwdhash\":\"" + HexFormat.of().formatHex(hash) + "\",\"v\":2}\r\n";
+        } catch (NoSuchAlgorithmException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private void expect(Actor actor, String verb, String text) throws IOException {
+        if (text.equals("<closed>")) {
+            expectEnd(actor);
+        } else if (text.startsWith("<nothing> ")) {
+            expectNothing(actor, Integer.parseInt(text.substring(10)));
+        } else {
+            expectMatch(actor, text);
+            if (verb.contains("@")) {
+                String[] bounds = verb.substring(verb.indexOf('@') + 1).split("-");
+                long took = (System.nanoTime() - actor.sentAt) / 1_000_000;
+                if (took < Integer.parseInt(bounds[0]) || took > Integer.parseInt(bounds[1])) {
+                    throw new AssertionError("came after " + took + " ms");
+                }
+            }
+        }
+    }
+
+    private void expectMatch(Actor actor, String regex) throws IOException {
+        Pattern pattern = Pattern.compile(regex, Pattern.DOTALL);
+        long end = System.nanoTime() + PATIENCE * 1_000_000L;
+        while (true) {
+            Matcher matcher = pattern.matcher(actor.got);
+            if (matcher.find()) {
+                Matcher names = Pattern.compile("\\(\\?<(\\w+)>").matcher(regex);
+                while (names.find()) {
+                    variables.put(names.group(1), matcher.group(names.group(1)));
+                }
+                actor.got.delete(0, matcher.end());
+                return;
+            }
+            try {
+                if (!actor.read(end)) {
+                    throw new AssertionError("the connection ended after '" + actor.got + "'");
+                }
+            } catch (SocketTimeoutException e) {
+                throw new AssertionError("there is only '" + actor.got + "'");
+            }
+        }
+    }
+
+    private static void expectEnd(Actor actor) throws IOException {
+        try {
+            long end = System.nanoTime() + PATIENCE * 1_000_000L;
+            while (actor.read(end)) {
+                // What still comes is not looked at.
+            }
+        } catch (SocketTimeoutException e) {
+            throw new AssertionError("it is still open");
+        } catch (IOException e) {
+            // Reset is an end, too.
+        }
+    }
+
+    private static void expectNothing(Actor actor, int millis) throws IOException {
+        try {
+            if (actor.got.length() == 0 && !actor.read(System.nanoTime() + millis * 1_000_000L)) {
+                throw new AssertionError("the connection ended");
+            }
+            throw new AssertionError("there is '" + actor.got + "'");
+        } catch (SocketTimeoutException e) {
+            // Nothing came, as expected.
+        }
+    }
+
+    private String recall(String text) {
+        String recalled = text;
+        for (Map.Entry<String, String> variable : variables.entrySet()) {
+            recalled = recalled.replace("${" + variable.getKey() + "}", variable.getValue());
+        }
+        return recalled;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Actor actor : new ArrayList<>(actors.values())) {
+            actor.socket.close();
+        }
+        for (ServerSocket standIn : standIns.values()) {
+            standIn.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gorserill/routing/ImportsTest.java
@@ -0,0 +1,56 @@
+package gorserill.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** The layers stay apart: the core knows no wire, and no layer reaches up. */
+public class ImportsTest {
+    private static final String SOURCES = "src/main/java/gorserill/";
+
+    private static List<String> naming(String folder, String... forbidden) throws IOException {
+        List<String> found = new ArrayList<>();
+        try (Stream<Path> files = Files.walk(Path.of(SOURCES + folder))) {
+            List<Path> sources = files.filter(f -> f.toString().endsWith(".java")).toList();
+            assertTrue(!sources.isEmpty(), folder + " has no sources");
+            for (Path source : sources) {
+                for (String line : Files.readAllLines(source)) {
+                    for (String word : forbidden) {
+                        if (line.contains(word)) {
+                            found.add(source + ": " + line.strip());
+                        }
+                    }
+                }
+            }
+        }
+        return found;
+    }
+
+    @Test
+    public void theCoreKnowsNoWire() throws IOException {
+        assertEquals(naming("routing", "grizzly", "jackson", "java.net", "java.nio", "gorserill.protocol",
+            "gorserill.transport", "gorserill.program", "Http", "Faktory", "Json"), List.of());
+    }
+
+    @Test
+    public void noLayerReachesUp() throws IOException {
+        assertEquals(naming("transport", "gorserill.protocol", "gorserill.routing", "gorserill.program"),
+            List.of());
+        assertEquals(naming("protocol", "gorserill.program"), List.of());
+        assertEquals(naming("common", "gorserill.protocol", "gorserill.routing", "gorserill.program",
+            "gorserill.transport"), List.of());
+    }
+
+    /** Decisions are the module's: the codecs and fronts do not know it. */
+    @Test
+    public void codecsDecideNothing() throws IOException {
+        assertEquals(naming("protocol", "barrowflow.Choice", "barrowflow.Ledger"), List.of());
+    }
+}
