--- a/src/main/java/gorserill/common/Loop.java
+++ b/src/main/java/gorserill/common/Loop.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * The one thread that owns the core, the decision module and the clock. Other threads hand it events with
@@ -17,14 +18,22 @@
     private final LinkedBlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
     private final Deadlines deadlines = new Deadlines();
     private final Consumer<Throwable> failed;
-    private final long nanosAtStart = System.nanoTime();
+    private final LongSupplier nanos;
+    private final long nanosAtStart;
     private final long unixAtStart = System.currentTimeMillis();
     private final Thread thread = new Thread(this::run, "core");
     private volatile boolean stopped;
 
     /** @param failed is told what an event or deadline threw; the loop then goes on */
     public Loop(Consumer<Throwable> failed) {
+        this(failed, System::nanoTime);
+    }
+
+    /** @param nanos the clock, in nanoseconds from any moment on */
+    public Loop(Consumer<Throwable> failed, LongSupplier nanos) {
         this.failed = failed;
+        this.nanos = nanos;
+        nanosAtStart = nanos.getAsLong();
     }
 
     public void start() {
@@ -38,7 +47,7 @@
 
     /** Microseconds of a clock that only goes forward; any thread may ask. */
     public long now() {
-        return START + (System.nanoTime() - nanosAtStart) / 1_000;
+        return START + (nanos.getAsLong() - nanosAtStart) / 1_000;
     }
 
     /**
@@ -62,25 +71,40 @@
         deadlines.cancel(deadline);
     }
 
+    /** Runs what has come in and what is due on the caller's thread, for a loop that is not started. */
+    public void runDue() {
+        for (Runnable event = next(); event != null; event = next()) {
+            guarded(event);
+        }
+    }
+
     private void run() {
         while (!stopped) {
             try {
-                // What has come in goes first: an answer that is here beats the deadline of the same moment.
-                Runnable event = events.poll();
-                if (event == null) {
-                    event = deadlines.due(now());
-                }
+                Runnable event = next();
                 if (event == null) {
                     event = events.poll(Math.max(0, deadlines.next() - now()), TimeUnit.MICROSECONDS);
                 }
                 if (event != null) {
-                    event.run();
+                    guarded(event);
                 }
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException | StackOverflowError e) {
-                failed.accept(e);
             }
         }
     }
+
+    /** What has come in goes first: an answer that is here beats the deadline of the same moment. */
+    private Runnable next() {
+        Runnable event = events.poll();
+        return event != null ? event : deadlines.due(now());
+    }
+
+    private void guarded(Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            failed.accept(e);
+        }
+    }
 }
--- a/src/main/java/gorserill/program/Main.java
+++ b/src/main/java/gorserill/program/Main.java
@@ -28,7 +28,9 @@
         Logging.setUp();
         Node node;
         try {
-            node = new Node(NodeConfig.read(System.getenv()));
+            NodeConfig config = NodeConfig.read(System.getenv());
+            WarmUp.run(config.settings);
+            node = new Node(config);
         } catch (ConfigException e) {
             LOG.log(Level.SEVERE, "configuration: {0}", e.getMessage());
             return 2;
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -34,6 +34,7 @@
     private static final long FIRST_LIST = 300_000;
     /** No request lasts longer than the longest deadline; what is left after that is not waited for. */
     private static final long LAST_ANSWERS = 300_000;
+    private static final long MINUTE = 60_000_000;
 
     private final NodeConfig config;
     private final Loop loop = new Loop(e -> LOG.log(Level.SEVERE, "an event failed; the node goes on", e));
@@ -70,6 +71,7 @@
         if (!config.settings.listOnRequest()) {
             watch.start();
         }
+        loop.at(loop.now() + MINUTE, this::tellMinute);
         loop.at(loop.now() + FIRST_LIST, () -> ready("no word from discovery yet"));
         loop.start();
         listen("clients", config.listen, HttpCodec.server(loop, MAX_BODY), front::accept);
@@ -84,6 +86,14 @@
         LOG.log(Level.INFO, "{0} listens for {1} at {2}", new Object[] {config.name, whom, at});
     }
 
+    private void tellMinute() {
+        Runtime jvm = Runtime.getRuntime();
+        LOG.log(Level.INFO, "{0}: last minute {1}; now {2} open, {3} connections, {4} MB of heap",
+            new Object[] {config.name, core.answersSince(), core.openRequests(), transport.connections(),
+                (jvm.totalMemory() - jvm.freeMemory()) >> 20});
+        loop.at(loop.now() + MINUTE, this::tellMinute);
+    }
+
     private void heard(Listing listing) {
         fleet.tell(core, listing.whole() ? ListKind.WHOLE : ListKind.CHANGES, listing);
         ready("list " + listing.index() + " heard");
--- a/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
@@ -24,7 +24,9 @@
     static final String DEFAULT_QUEUE = "default";
 
     private static final JsonFactory JSON = new JsonFactory();
-    private static final int SHORTEST_JID = 8;
+    /** Danger: these become headers of HTTP, where a line end would start a header of its own. */
+    private static final String IDENTIFIER = "[!-~]{8,128}";
+    private static final String KEY = "[!-~]{1,128}";
 
     /** @throws IOException which says what is missing or unreadable */
     static FaktoryJob parse(String text) throws IOException {
@@ -71,8 +73,10 @@
                 throw new IOException("more than one object");
             }
         }
-        if (jid == null || jid.length() < SHORTEST_JID) {
-            throw new IOException("jid must be a text of " + SHORTEST_JID + " characters or more");
+        if (jid == null || !jid.matches(IDENTIFIER)) {
+            throw new IOException("jid must be 8 to 128 printable characters of ASCII");
+        } else if (key != null && !key.matches(KEY)) {
+            throw new IOException("custom.idempotency_key must be 1 to 128 printable characters of ASCII");
         } else if (jobtype == null || jobtype.isEmpty()) {
             throw new IOException("jobtype is missing");
         } else if (!args) {
--- a/src/main/java/gorserill/protocol/http/HttpReader.java
+++ b/src/main/java/gorserill/protocol/http/HttpReader.java
@@ -174,6 +174,10 @@
     }
 
     private void parseHead(String text) throws HttpException {
+        // Danger: values are passed on to workers, where a lone line end would start a header of its own.
+        if (text.replace("\r\n", "").chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
+            throw new HttpException(400, "control characters in the headers");
+        }
         String[] lines = text.split("\r\n");
         String[] start = lines[0].split(" ", 3);
         if (start.length < (answers ? 2 : 3) || !start[answers ? 0 : 2].matches("HTTP/1\\.[01]")) {
--- a/src/main/java/gorserill/protocol/http/HttpWatch.java
+++ b/src/main/java/gorserill/protocol/http/HttpWatch.java
@@ -25,8 +25,8 @@
     private static final Logger LOG = Logger.getLogger(HttpWatch.class.getName());
     private static final JsonFactory JSON = new JsonFactory();
     /** How long a call waits for news, and how much longer its answer may take. */
-    private static final long WAIT_MS = 10_000;
-    private static final long PATIENCE = 3_000_000;
+    private static final long WAIT_MS = 5_000;
+    private static final long PATIENCE = 1_500_000;
 
     private final Loop loop;
     private final Transport transport;
@@ -66,11 +66,11 @@
         private HttpHead head;
 
         private void ask() {
-            Call asking = this;
             String target = "/v1/servers" + (whole ? "" : "?index=" + index + "&wait=" + WAIT_MS);
             channel.write(HttpWriter.request("GET", target, "discovery").bytes());
             loop.cancel(deadline);
-            deadline = loop.at(loop.now() + WAIT_MS * 1_000 + PATIENCE, () -> asking.fail("no answer"));
+            // Danger: discovery's word counts as told 2 s after the wait, whether it arrived or not.
+            deadline = loop.at(loop.now() + WAIT_MS * 1_000 + PATIENCE, () -> fail("no answer"));
         }
 
         @Override
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -35,6 +35,9 @@
     /** Workers that came to the node by themselves; a list from discovery does not know them. */
     private final Map<Long, Worker> guests = new HashMap<>();
     private long lastNow;
+    private long served;
+    private long refused;
+    private long failed;
     private int open;
     private Runnable whenIdle;
 
@@ -57,6 +60,7 @@
         open++;
         if (expires <= now) {
             conclude(request);
+            refused++;
             front.refused(0);
             release(request);
             return request.handle;
@@ -117,6 +121,15 @@
         return open;
     }
 
+    /** How many answers of each kind were given since it was asked last, in words. */
+    public String answersSince() {
+        String told = served + " served, " + refused + " refused, " + failed + " failed";
+        served = 0;
+        refused = 0;
+        failed = 0;
+        return told;
+    }
+
     // ---- what becomes of attempts ----
 
     void started(Attempt attempt) {
@@ -136,6 +149,7 @@
         // The answer goes out before the module learns of it: it waits for nobody's bookkeeping.
         if (outcome == Outcome.SERVED && !request.over) {
             conclude(request);
+            served++;
             request.front.served(result);
         }
         module.ended(now(), request.handle, attempt.number, outcome, request.over, load.freeSlots(),
@@ -157,12 +171,7 @@
         if (!request.over) {
             conclude(request);
             module.withdrawn(now(), request.handle);
-            if (mayRefuse(request)) {
-                request.front.refused(settings.maxRetryAfter());
-            } else {
-                request.front.failed();
-            }
-            release(request);
+            giveUp(request, settings.maxRetryAfter());
         }
     }
 
@@ -171,7 +180,9 @@
         request.over = true;
         loop.cancel(request.deadline);
         open--;
-        loop.execute(this::tellIdle);
+        if (whenIdle != null) {
+            loop.execute(this::tellIdle);
+        }
     }
 
     private void tellIdle() {
@@ -229,12 +240,21 @@
         if (request == null || request.over) {
             return;
         }
+        if (!mayRefuse(request)) {
+            LOG.log(Level.SEVERE, "the module refused request {0}, which may have run; failed",
+                request.work.id());
+        }
         conclude(request);
+        giveUp(request, wait);
+    }
+
+    /** Refuses a request where that is lawful, else fails it. */
+    private void giveUp(Request request, long wait) {
         if (mayRefuse(request)) {
+            refused++;
             request.front.refused(wait);
         } else {
-            LOG.log(Level.SEVERE, "the module refused request {0}, which may have run; failed",
-                request.work.id());
+            failed++;
             request.front.failed();
         }
         release(request);
@@ -260,6 +280,7 @@
         Request request = requests.get(handle);
         if (request != null && !request.over) {
             conclude(request);
+            failed++;
             request.front.failed();
             release(request);
         }
--- a/src/main/java/gorserill/transport/Channel.java
+++ b/src/main/java/gorserill/transport/Channel.java
@@ -64,8 +64,8 @@
     }
 
     /** Its number in the table of connections, for logs. */
-    public long number() {
-        return handle & 0xfffff;
+    public String number() {
+        return Long.toString(handle & 0xfffff);
     }
 
     /** The other side's address, for logs. */
--- a/src/main/java/gorserill/transport/Transport.java
+++ b/src/main/java/gorserill/transport/Transport.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
@@ -125,7 +126,7 @@
             channel.handle = table.add(channel);
             peer.opened(channel);
         });
-        connection.addCloseListener((closeable, type) -> {
+        ((Closeable) connection).addCloseListener((closeable, type) -> {
             descriptors.decrementAndGet();
             loop.execute(() -> {
                 if (table.remove(channel.handle) != null) {
@@ -160,6 +161,7 @@
         }
     }
 
+    @SuppressWarnings("rawtypes")
     private final class Pending extends EmptyCompletionHandler<Connection> implements Connecting {
         private final Peer peer;
         private GrizzlyFuture<Connection> future;
--- a/src/test/java/gorserill/program/Scenario.java
+++ b/src/test/java/gorserill/program/Scenario.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -106,8 +107,7 @@
         String name = words[0];
         switch (words[1].replaceAll("@.*", "")) {
             case "connect" -> {
-                InetSocketAddress to = fronts.get(rest);
-                actors.put(name, new Actor(new Socket(to.getAddress(), to.getPort())));
+                actors.put(name, new Actor(connect(fronts.get(rest))));
             }
             case "accept" -> actors.put(name, new Actor(accept(rest.split("\\|"))));
             case "send" -> send(actors.get(name), recall(rest));
@@ -132,6 +132,20 @@
         }
     }
 
+    /** The node may still be starting: a refused connection is tried again. */
+    private static Socket connect(InetSocketAddress to) throws IOException {
+        for (long end = System.nanoTime() + PATIENCE * 1_000_000L;;) {
+            try {
+                return new Socket(to.getAddress(), to.getPort());
+            } catch (ConnectException e) {
+                if (System.nanoTime() > end) {
+                    throw e;
+                }
+                pause(10);
+            }
+        }
+    }
+
     private Socket accept(String[] names) throws IOException {
         long end = System.nanoTime() + PATIENCE * 1_000_000L;
         while (System.nanoTime() < end) {
--- /dev/null
+++ b/src/test/java/gorserill/routing/CoreTest.java
@@ -0,0 +1,294 @@
+package gorserill.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import barrowflow.Dispatcher.Cold;
+import barrowflow.Dispatcher.Effect;
+import barrowflow.Dispatcher.Group;
+import barrowflow.Dispatcher.JobClass;
+import barrowflow.Dispatcher.ListKind;
+import barrowflow.Dispatcher.Outcome;
+import barrowflow.Dispatcher.Settings;
+import barrowflow.Dispatcher.Worker;
+import barrowflow.Dispatcher.WorkerState;
+import gorserill.common.Loop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The core with fronts and workers that are no wire's. */
+public class CoreTest {
+    private static final int SAFE = 0;
+    private static final int UNSAFE = 1;
+    private static final long DEADLINE = 2_000_000;
+
+    private final List<Throwable> faults = new ArrayList<>();
+    private Loop loop;
+    private Core core;
+    private int watches;
+
+    @BeforeMethod
+    public void start() {
+        faults.clear();
+        loop = new Loop(faults::add);
+        JobClass safe = new JobClass(100_000, 2, DEADLINE, 1, 0, Effect.SAFE, Group.ALL, 0, -1);
+        JobClass unsafe = new JobClass(100_000, 2, DEADLINE, 1, 0, Effect.UNSAFE, Group.ALL, 0, -1);
+        Settings settings = new Settings(1, 0, List.of(safe, unsafe), List.of(), 1,
+            new Cold(0.2, 10_000_000, 3, 1_000_000), 4, true, 2_000_000, true, true, 0);
+        core = new Core(loop, settings, 7, () -> watches++);
+        loop.start();
+    }
+
+    @AfterMethod
+    public void stop() {
+        loop.stop();
+        assertEquals(faults, List.of());
+    }
+
+    /** Does something on the loop's thread and waits for it. */
+    private <T> T on(Callable<T> what) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(what.call());
+            } catch (Exception | AssertionError e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(5, TimeUnit.SECONDS);
+    }
+
+    private long take(Answers front, int jobClass, long timeLeft) {
+        Work work = new Work("r", jobClass, null, null, null, new byte[0]);
+        return core.take(front, work, new Ask(loop.now(), timeLeft, false, 0, 0, 1, 0));
+    }
+
+    private void list(ListKind kind, WorkerState state, Map<Long, ? extends WorkerPort> ports) {
+        core.listed(kind,
+            ports.keySet().stream().map(id -> new Worker(id, 0, 0, 0, state, 0)).toList(), ports);
+    }
+
+    /** What came of a request. */
+    private static final class Answers implements Front {
+        final List<String> given = new ArrayList<>();
+        final CountDownLatch first = new CountDownLatch(1);
+
+        private void add(String answer) {
+            given.add(answer);
+            first.countDown();
+        }
+
+        @Override
+        public void served(byte[] result) {
+            add("served " + new String(result));
+        }
+
+        @Override
+        public void refused(long waitMicros) {
+            add("refused");
+        }
+
+        @Override
+        public void failed() {
+            add("failed");
+        }
+
+        List<String> await() throws InterruptedException {
+            assertTrue(first.await(5, TimeUnit.SECONDS), "no answer");
+            return given;
+        }
+    }
+
+    /** A worker that keeps what it gets. */
+    private static class Keeper implements WorkerPort {
+        final List<Attempt> got = new ArrayList<>();
+        final CountDownLatch first = new CountDownLatch(1);
+        final boolean neverRan;
+        int calledOff;
+
+        Keeper(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+
+        @Override
+        public void start(Attempt attempt, Work work, long expires) {
+            got.add(attempt);
+            first.countDown();
+        }
+
+        @Override
+        public boolean callOff(Attempt attempt) {
+            calledOff++;
+            return neverRan;
+        }
+    }
+
+    private Keeper keeper(boolean neverRan) throws Exception {
+        Keeper keeper = new Keeper(neverRan);
+        on(() -> {
+            list(ListKind.WHOLE, WorkerState.READY, Map.of(1L, keeper));
+            return null;
+        });
+        return keeper;
+    }
+
+    @Test
+    public void theFirstOutcomeIsTheOnlyAnswer() throws Exception {
+        Keeper worker = keeper(false);
+        Answers front = new Answers();
+        on(() -> take(front, SAFE, DEADLINE));
+        assertTrue(worker.first.await(5, TimeUnit.SECONDS));
+        on(() -> {
+            Attempt attempt = worker.got.get(0);
+            attempt.started();
+            attempt.ended(Outcome.SERVED, "yes".getBytes(), Load.NONE);
+            attempt.ended(Outcome.SERVED, "again".getBytes(), Load.NONE);
+            attempt.ended(Outcome.ERROR, null, Load.NONE);
+            attempt.started();
+            return null;
+        });
+        assertEquals(front.await(), List.of("served yes"));
+        assertEquals(on(core::openRequests).intValue(), 0);
+    }
+
+    @Test
+    public void aSilentWorkersAttemptEndsWithTheClientsTime() throws Exception {
+        for (boolean neverRan : new boolean[] {false, true}) {
+            Keeper worker = keeper(neverRan);
+            Answers front = new Answers();
+            long asked = System.nanoTime();
+            on(() -> take(front, UNSAFE, 300_000));
+            // An unsafe job that may have run must not be refused: the client would send it again.
+            assertEquals(front.await(), List.of(neverRan ? "refused" : "failed"));
+            long took = (System.nanoTime() - asked) / 1_000_000;
+            assertTrue(took >= 295 && took < 350, "after " + took + " ms");
+            assertEquals(worker.calledOff, 1);
+            start();
+        }
+    }
+
+    @Test
+    public void aClientThatLeavesIsToldNothing() throws Exception {
+        Keeper worker = keeper(false);
+        Answers front = new Answers();
+        long handle = on(() -> take(front, UNSAFE, DEADLINE));
+        assertTrue(worker.first.await(5, TimeUnit.SECONDS));
+        assertTrue(on(() -> core.withdraw(handle)), "it may have run");
+        assertTrue(!on(() -> core.withdraw(handle)));
+        on(() -> {
+            worker.got.get(0).ended(Outcome.SERVED, new byte[0], Load.NONE);
+            return null;
+        });
+        assertEquals(front.given, List.of());
+        assertEquals(worker.calledOff, 1);
+        Answers held = new Answers();
+        long waiting = on(() -> take(held, UNSAFE, DEADLINE));
+        assertTrue(!on(() -> core.withdraw(waiting)), "it was never sent");
+    }
+
+    @Test
+    public void workersThatCameByThemselvesOutliveALastingList() throws Exception {
+        Keeper guest = new Keeper(false);
+        on(() -> {
+            core.guest(new Worker(9, 0, 9, 0, WorkerState.READY, 0), guest);
+            list(ListKind.WHOLE, WorkerState.READY, Map.of());
+            return null;
+        });
+        on(() -> take(new Answers(), SAFE, DEADLINE));
+        assertTrue(guest.first.await(5, TimeUnit.SECONDS));
+        Answers front = new Answers();
+        on(() -> {
+            core.guest(new Worker(9, 0, 9, 0, WorkerState.GONE, 0), guest);
+            return take(front, SAFE, DEADLINE);
+        });
+        assertEquals(front.await(), List.of("refused"));
+    }
+
+    /** Danger: exactly one final answer, and no unsafe job twice, whatever the workers and clients do. */
+    @Test
+    public void everyRequestGetsOneAnswerWhateverHappens() throws Exception {
+        for (int seed = 0; seed < 4; seed++) {
+            Random random = new Random(seed);
+            Map<Long, WorkerPort> ports = new HashMap<>();
+            Map<Work, Integer> ran = new HashMap<>();
+            for (long id = 1; id <= 4; id++) {
+                ports.put(id, new Erratic(random, ran));
+            }
+            on(() -> {
+                list(ListKind.WHOLE, WorkerState.READY, ports);
+                return null;
+            });
+            List<Answers> fronts = new ArrayList<>();
+            List<Answers> left = new ArrayList<>();
+            CountDownLatch idle = new CountDownLatch(1);
+            for (int i = 0; i < 300; i++) {
+                int jobClass = random.nextInt(2);
+                on(() -> {
+                    Answers front = new Answers();
+                    long handle = take(front, jobClass, 100_000 + random.nextInt(400_000));
+                    if (random.nextInt(20) == 0) {
+                        boolean answered = !front.given.isEmpty();
+                        core.withdraw(handle);
+                        (answered ? fronts : left).add(front);
+                    } else {
+                        fronts.add(front);
+                    }
+                    return null;
+                });
+            }
+            on(() -> {
+                core.whenIdle(idle::countDown);
+                return null;
+            });
+            assertTrue(idle.await(5, TimeUnit.SECONDS), "requests were left open");
+            on(() -> {
+                fronts.forEach(front -> assertEquals(front.given.size(), 1, front.given.toString()));
+                left.forEach(front -> assertEquals(front.given.size(), 0, front.given.toString()));
+                ran.forEach((work, times) ->
+                    assertTrue(work.jobClass() == SAFE || times == 1, times + " runs"));
+                assertTrue(!ran.isEmpty());
+                return null;
+            });
+        }
+    }
+
+    /** Ends its attempts in every way there is, or not at all. */
+    private final class Erratic implements WorkerPort {
+        private final Random random;
+        private final Map<Work, Integer> ran;
+
+        Erratic(Random random, Map<Work, Integer> ran) {
+            this.random = random;
+            this.ran = ran;
+        }
+
+        @Override
+        public void start(Attempt attempt, Work work, long expires) {
+            Outcome outcome = Outcome.values()[random.nextInt(6)];
+            if (!outcome.neverRan) {
+                ran.merge(work, 1, Integer::sum);
+            }
+            if (outcome != Outcome.TIMEOUT) {
+                loop.at(loop.now() + random.nextInt(30_000), () -> {
+                    attempt.started();
+                    attempt.ended(outcome, new byte[0], new Load(random.nextInt(3), Double.NaN));
+                });
+            }
+        }
+
+        @Override
+        public boolean callOff(Attempt attempt) {
+            return false;
+        }
+    }
+}
