--- a/src/test/java/gorserill/program/Scenario.java
+++ b/src/test/java/gorserill/program/Scenario.java
@@ -34,6 +34,7 @@
  * C expect &lt;nothing&gt; MS            nothing comes for so long
  * C close                          ends the connection; {@code reset} breaks it
  * X refuse w1                      the stand-in refuses connections from now on
+ * X mute w1                        connections to the stand-in never come up from now on
  * X call NAME                      sets off something outside
  * - wait MS                        lets time pass
  * </pre>
@@ -117,6 +118,7 @@
                 actors.get(name).socket.setSoLinger(true, 0);
                 actors.remove(name).socket.close();
             }
+            case "mute" -> mute(rest);
             case "refuse" -> standIns.get(rest).close();
             case "call" -> calls.get(rest).run();
             case "wait" -> pause(Integer.parseInt(rest));
@@ -132,6 +134,24 @@
         }
     }
 
+    /** Fills the queue of a listener that nobody accepts from, so that nothing more ever comes up. */
+    private void mute(String name) throws IOException {
+        ServerSocket full = standIns.get(name);
+        int port = full.getLocalPort();
+        full.close();
+        standIns.put(name, new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+        for (int i = 0; i < 8; i++) {
+            Socket filler = new Socket();
+            try {
+                filler.connect(standIns.get(name).getLocalSocketAddress(), 100);
+                actors.put(name + " filler " + i, new Actor(filler));
+            } catch (SocketTimeoutException e) {
+                return;
+            }
+        }
+        throw new AssertionError("the queue does not fill up");
+    }
+
     /** The node may still be starting: a refused connection is tried again. */
     private static Socket connect(InetSocketAddress to) throws IOException {
         for (long end = System.nanoTime() + PATIENCE * 1_000_000L;;) {
