A draining node answers what has come, waits for late requests, and is ready only with a list

Found in a review, each with a scenario or a step in the program's test: - HttpFront.respond() ended a draining connection although a further request on it had been read; it was lost. - Node.drain() ended 300 ms after the last answer even if a request had come in that time; it now waits again. A Faktory client's connection ends with its answer. - A node that was never told of a worker said that it was ready after 300 ms and would have refused every client. - An unreadable number thrown by anything under Core.take() would have been answered 400 on top of the real answer; headers are now read before.

--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -32,7 +32,7 @@
     private static final long LINGER = 500_000;
     /** A node without discovery serves from the list it knew after so long. */
     private static final long FIRST_LIST = 300_000;
-    /** No request lasts longer than the longest deadline; what is left after that is not waited for. */
+    /** The last answers get so long to leave the machine. */
     private static final long LAST_ANSWERS = 300_000;
     private static final long MINUTE = 60_000_000;
 
@@ -72,7 +72,10 @@
             watch.start();
         }
         loop.at(loop.now() + MINUTE, this::tellMinute);
-        loop.at(loop.now() + FIRST_LIST, () -> ready("no word from discovery yet"));
+        // Danger: a node that knows of no worker would draw clients and refuse them all.
+        if (config.known != null && !config.known.entries().isEmpty()) {
+            loop.at(loop.now() + FIRST_LIST, () -> ready("no word from discovery yet"));
+        }
         loop.start();
         listen("clients", config.listen, HttpCodec.server(loop, MAX_BODY), front::accept);
         if (faktory != null) {
@@ -125,11 +128,22 @@
                 if (faktory != null) {
                     faktory.closeIdle();
                 }
-                core.whenIdle(() -> loop.at(loop.now() + LAST_ANSWERS, done::countDown));
+                endWhenIdle();
             });
         });
     }
 
+    /** Danger: a request may still come on a connection that was busy; the end waits for it, too. */
+    private void endWhenIdle() {
+        core.whenIdle(() -> loop.at(loop.now() + LAST_ANSWERS, () -> {
+            if (core.openRequests() == 0) {
+                done.countDown();
+            } else {
+                endWhenIdle();
+            }
+        }));
+    }
+
     /** Waits until the node has drained, then lets go of everything. */
     void awaitEnd() throws InterruptedException {
         done.await();
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -461,8 +461,13 @@
         private void answer(byte[] reply) {
             open.remove(jid);
             session.push = null;
-            session.channel.write(reply);
-            loop.execute(session::next);
+            if (draining) {
+                session.ended = true;
+                session.channel.writeAndClose(reply);
+            } else {
+                session.channel.write(reply);
+                loop.execute(session::next);
+            }
         }
 
         /** The client has left without waiting; whether it ran nobody will be told. */
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -182,20 +182,20 @@
                 LOG.log(Level.WARNING, "request {0} refused: connections near the budget of descriptors", id);
                 refused(1_000_000);
             } else {
+                Ask ask;
                 try {
                     Labels labels = Labels.of(head);
-                    long left = labels.remaining(terms.deadline());
-                    Work work = new Work(id, terms.index(), head.second(), effectKey,
-                        head.header("content-type"), request.body());
-                    // The handle is known only when take() returns; the answer may come before that.
-                    HttpRequest asked = current;
-                    long taken = core.take(this, work, new Ask(request.arrived(), left,
+                    ask = new Ask(request.arrived(), labels.remaining(terms.deadline()),
                         "1".equals(head.header("x-resent")), 0, labels.key(),
-                        labels.number("slots", "width", 1), labels.number("memory", "ram_units", 0)));
-                    handle = current == asked ? taken : handle;
+                        labels.number("slots", "width", 1), labels.number("memory", "ram_units", 0));
                 } catch (NumberFormatException e) {
                     reject(400, "an unreadable number in the headers: " + e.getMessage(), false);
+                    return;
                 }
+                // The handle is known only when take() returns; the answer may come before that.
+                long taken = core.take(this, new Work(id, terms.index(), head.second(), effectKey,
+                    head.header("content-type"), request.body()), ask);
+                handle = current == request ? taken : handle;
             }
         }
 
@@ -220,12 +220,15 @@
             LOG.log(Level.WARNING, "client connection {0}: answered {1}: {2}",
                 new Object[] {channel.number(), status, why});
             ending |= last;
-            respond(HttpWriter.answer(status).header("Content-Type", "text/plain"),
+            respond(HttpWriter.answer(status).header("Content-Type", "text/plain")
+                .header("Allow", status == 405 ? "POST" : null),
                 why.getBytes(StandardCharsets.UTF_8));
         }
 
         private void respond(HttpWriter answer, byte[] body) {
-            boolean last = ending || draining || current != null && current.head().closes();
+            // Danger: a request that has come is owed an answer, also when the node drains.
+            boolean last = ending || draining && waiting.isEmpty()
+                || current != null && current.head().closes();
             byte[] message = answer.header("Connection", last ? "close" : null).bytes(body);
             current = null;
             handle = 0;
