Contracts: OpenAPI and AsyncAPI descriptions read whole, with faults by place

Descriptions were read for x-gorserill-class alone: no YAML, no references, no schemas, no effects. The new package gorserill.contract reads OpenAPI 3.0 and 3.1 and AsyncAPI 2.6 and 3.0 in JSON and YAML, follows references within the description's folder, gathers schemas into one 2020-12 document with linear patterns, learns class, effect, key, deadline and slots with their sources, and holds a request against all of it. The command line is picocli's; serve, adapter and rehearse alone go past it. Nothing of it is used by a node yet.

Measured: both descriptions under deploy/ pass contract check; contract match turns away a cierre without its key and one with X-Remaining-Ms: x, each with its place.

--- /dev/null
+++ b/src/main/java/gorserill/contract/Contract.java
@@ -0,0 +1,48 @@
+package gorserill.contract;
+
+import java.util.List;
+import java.util.Map;
+
+/** A description that was read and found sound. It never changes; a changed description is another contract. */
+public final class Contract {
+    /** Which kind of description it was. */
+    public enum Kind { OPENAPI, ASYNCAPI }
+
+    private final Kind kind;
+    private final String title;
+    private final String version;
+    private final List<Operation> operations;
+    private final Templates<Map<String, Operation>> byAddress;
+
+    /** @param byAddress operations by method; by "" for channels */
+    Contract(Kind kind, String title, String version, List<Operation> operations,
+             Templates<Map<String, Operation>> byAddress) {
+        this.kind = kind;
+        this.title = title;
+        this.version = version;
+        this.operations = List.copyOf(operations);
+        this.byAddress = byAddress;
+    }
+
+    public Kind kind() {
+        return kind;
+    }
+
+    public String title() {
+        return title;
+    }
+
+    /** The description's own version. */
+    public String version() {
+        return version;
+    }
+
+    /** In the order of the description. */
+    public List<Operation> operations() {
+        return operations;
+    }
+
+    Templates.Match<Map<String, Operation>> find(String rawPath) {
+        return byAddress.find(rawPath);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/contract/ContractReader.java
@@ -0,0 +1,38 @@
+package gorserill.contract;
+
+import gorserill.contract.read.Faults;
+import gorserill.contract.read.Library;
+import gorserill.contract.read.Spot;
+import gorserill.contract.read.Value.Kind;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Makes a contract of a description of either kind. */
+public final class ContractReader {
+    private ContractReader() { }
+
+    /**
+     * Reads a description and checks it.
+     *
+     * @param rules of the settings by class; null where there are none to go by
+     * @param faults hears of all that is wrong
+     * @return null where the description can't be used
+     */
+    public static Contract read(Path file, Map<String, JobRule> rules, Faults faults) {
+        Spot root = Library.open(file, faults);
+        if (root == null || !root.must(Kind.OBJECT)) {
+            return null;
+        }
+        Contract contract = null;
+        if (root.raw("openapi") != null) {
+            contract = new OpenApi(root, rules).read();
+        } else if (root.raw("asyncapi") != null) {
+            contract = new AsyncApi(root, rules).read();
+        } else if (root.raw("swagger") != null) {
+            root.error("Swagger 2.0 is not spoken", "convert it to OpenAPI 3.0 or 3.1");
+        } else {
+            root.error("neither 'openapi' nor 'asyncapi' is said", "begin with openapi: 3.1.0 or asyncapi: 3.0.0");
+        }
+        return faults.sound() ? contract : null;
+    }
+}
--- a/src/main/java/gorserill/program/FaktoryConfig.java
+++ b/src/main/java/gorserill/program/FaktoryConfig.java
@@ -18,7 +18,7 @@
     /** What the file says, checked; null where there is none or it does not enable the front. */
     static FaktoryTerms read(Path file, List<String> classNames, Map<String, ClassTerms> classes)
         throws ConfigException {
-        if (!Files.exists(file)) {
+        if (!Files.isRegularFile(file)) {
             return null;
         }
         Map<String, String> values;
--- a/src/main/java/gorserill/program/Main.java
+++ b/src/main/java/gorserill/program/Main.java
@@ -1,33 +1,43 @@
 package gorserill.program;
 
+import gorserill.program.command.Gorserill;
+import gorserill.program.command.Gorserill.Brought;
 import java.io.IOException;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sun.misc.Signal;
 
 /**
- * The command line: {@code serve} runs a node, {@code adapter} its decisions on the simulator's wire, {@code
- * rehearse} a node's start for the build.
+ * Where the program begins: {@code serve} runs a node, {@code adapter} its decisions on the simulator's wire,
+ * {@code rehearse} a node's start for the build; all else is the command line's ({@link Gorserill}).
  */
 public final class Main {
     private static final Logger LOG = Logger.getLogger(Main.class.getName());
 
     private Main() { }
 
-    /** Exit status 0 at the end, 1 on a fault, 2 on a wrong command line or configuration. */
+    /**
+     * Exit status 0 at the end, 1 on a fault, 2 on a wrong command line or configuration. Danger: the parser of
+     * the command line costs as much to load as a tenth of a node's start, so what the deployment starts, a
+     * command alone, goes past it.
+     */
     public static void main(String[] args) throws IOException, InterruptedException {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
+        switch (args.length == 1 ? args[0] : "") {
             case "serve" -> System.exit(serve());
             case "rehearse" -> System.exit(rehearse());
-            case "adapter" -> barrowflow.adapter.Main.main(args);
-            default -> {
-                System.err.println("usage: java -jar gorserill.jar serve | adapter | rehearse");
-                System.exit(2);
-            }
+            case "adapter" -> System.exit(adapter());
+            default -> System.exit(Gorserill.execute(args,
+                new Brought("serve", "Runs a node, as NODE_CONFIG says.", Main::serve),
+                new Brought("adapter", "Runs the decisions on the simulator's wire.", Main::adapter),
+                new Brought("rehearse", "Runs a node's start, for the archive of classes.", Main::rehearse)));
         }
     }
 
+    private static int adapter() throws IOException {
+        barrowflow.adapter.Main.main(new String[] {"adapter"});
+        return 0;
+    }
+
     private static int rehearse() throws IOException {
         Logging.setUp();
         try {
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import gorserill.contract.JobRule;
 import gorserill.protocol.ClassTerms;
 import gorserill.protocol.discovery.Listing;
 import gorserill.protocol.faktory.FaktoryTerms;
@@ -180,6 +181,21 @@
         return classTerms().equals(other.classTerms());
     }
 
+    /** The classes of a configuration file, for contracts to be held against without a node. */
+    public static Map<String, JobRule> jobRules(Path file) throws ConfigException {
+        return read(Map.of("NODE_CONFIG", file.toString(), "GORSERILL_FAKTORY", "")).jobRules();
+    }
+
+    /** What contracts must keep to, by the classes' names. */
+    Map<String, JobRule> jobRules() {
+        Map<String, JobRule> rules = new LinkedHashMap<>();
+        for (int c = 0; c < classNames.size(); c++) {
+            JobClass of = settings.classes().get(c);
+            rules.put(classNames.get(c), new JobRule(classNames.get(c), c, of.effect(), of.deadline()));
+        }
+        return rules;
+    }
+
     /** What the fronts need to know of the classes, by name. */
     Map<String, ClassTerms> classTerms() {
         Map<String, ClassTerms> terms = new LinkedHashMap<>();
--- /dev/null
+++ b/src/main/java/gorserill/program/command/ContractCommand.java
@@ -0,0 +1,315 @@
+package gorserill.program.command;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gorserill.contract.Call;
+import gorserill.contract.Contract;
+import gorserill.contract.ContractReader;
+import gorserill.contract.Door;
+import gorserill.contract.Effects;
+import gorserill.contract.JobRule;
+import gorserill.contract.Operation;
+import gorserill.contract.Problem;
+import gorserill.contract.Sourced;
+import gorserill.contract.Verdict;
+import gorserill.contract.read.Fault;
+import gorserill.contract.read.Faults;
+import gorserill.program.ConfigException;
+import gorserill.program.NodeConfig;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** What can be asked about descriptions without a node. */
+@Command(name = "contract", description = "Checks, shows and compares OpenAPI and AsyncAPI descriptions.",
+    subcommands = {ContractCommand.Check.class, ContractCommand.Show.class, ContractCommand.Match.class},
+    mixinStandardHelpOptions = true)
+final class ContractCommand implements Runnable {
+    /** As the node's front has it. */
+    private static final int MOST_BYTES = 64 * 1024;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "say what to do: check, show, match, diff or export");
+    }
+
+    /** In which form results are printed. */
+    enum Format { text, json }
+
+    /** What the commands have in common. */
+    @Command(mixinStandardHelpOptions = true)
+    abstract static class Base implements Callable<Integer> {
+        @Spec
+        protected CommandSpec spec;
+
+        @Option(names = "--format", description = "text or json; text if not said", defaultValue = "text")
+        protected Format format;
+
+        protected PrintWriter out() {
+            return spec.commandLine().getOut();
+        }
+
+        protected PrintWriter err() {
+            return spec.commandLine().getErr();
+        }
+
+        protected int print(ObjectNode json) {
+            out().println(json.toPrettyString());
+            out().flush();
+            return 0;
+        }
+
+        /** The classes of a node's configuration; null where none is named. */
+        protected Map<String, JobRule> rules(Path settings) {
+            try {
+                return settings == null ? null : NodeConfig.jobRules(settings);
+            } catch (ConfigException e) {
+                throw new ParameterException(spec.commandLine(), settings + ": " + e.getMessage());
+            }
+        }
+
+        /** Reads a contract; null where it is faulty, after its faults were printed. */
+        protected Contract contract(Path file, Map<String, JobRule> rules) {
+            Faults faults = new Faults();
+            Contract contract = ContractReader.read(file, rules, faults);
+            err().print(faults.text());
+            err().flush();
+            return contract;
+        }
+    }
+
+    /** With the settings of a node, where the command can go without. */
+    abstract static class WithSettings extends Base {
+        @Option(names = "--settings", paramLabel = "FILE",
+            description = "a node's configuration, as NODE_CONFIG names it; without it classes are not checked")
+        protected Path settings;
+    }
+
+    @Command(name = "check", description = "Tells all that is wrong; exit status 0 if nothing is, else 1.")
+    static final class Check extends WithSettings {
+        @Parameters(arity = "1..*", paramLabel = "FILE")
+        private List<Path> files;
+
+        @Override
+        public Integer call() {
+            Map<String, JobRule> rules = rules(settings);
+            ObjectNode json = JsonNodeFactory.instance.objectNode();
+            ArrayNode list = json.putArray("faults");
+            boolean sound = true;
+            for (Path file : files) {
+                Faults faults = new Faults();
+                Contract contract = ContractReader.read(file, rules, faults);
+                sound &= faults.sound();
+                faults.all().forEach(fault -> add(list, fault));
+                if (format == Format.text) {
+                    out().print(faults.text());
+                    out().println(file + ": " + (contract == null ? faults.errors() + " faults"
+                        : "sound, " + contract.operations().size() + " operations"));
+                }
+            }
+            if (format == Format.json) {
+                print(json.put("sound", sound));
+            }
+            out().flush();
+            return sound ? 0 : 1;
+        }
+
+        private static void add(ArrayNode list, Fault fault) {
+            list.addObject().put("severity", fault.error() ? "error" : "warning")
+                .put("file", fault.place().file()).put("line", fault.place().line())
+                .put("column", fault.place().column()).put("pointer", fault.place().pointer())
+                .put("what", fault.what()).put("remedy", fault.remedy());
+        }
+    }
+
+    @Command(name = "show", description = "Tells of each operation what was learned, and from where.")
+    static final class Show extends WithSettings {
+        @Parameters(paramLabel = "FILE")
+        private Path file;
+
+        @Override
+        public Integer call() {
+            Contract contract = contract(file, rules(settings));
+            if (contract == null) {
+                return 1;
+            }
+            ObjectNode json = JsonNodeFactory.instance.objectNode();
+            json.put("title", contract.title()).put("version", contract.version());
+            ArrayNode list = json.putArray("operations");
+            contract.operations().forEach(operation -> list.add(described(operation)));
+            if (format == Format.json) {
+                return print(json);
+            }
+            out().println(contract.title() + " " + contract.version());
+            contract.operations().forEach(operation -> out().print(text(operation)));
+            out().flush();
+            return 0;
+        }
+    }
+
+    private static ObjectNode described(Operation operation) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("operation", operation.id()).put("method", operation.method())
+            .put("address", operation.address()).put("place", operation.place());
+        learned(operation).forEach((name, what) -> json.putObject(name)
+            .put("value", words(what)).put("source", what.source()));
+        return json;
+    }
+
+    private static String text(Operation operation) {
+        StringBuilder text = new StringBuilder();
+        text.append(operation.id()).append("  ").append(operation.method() == null ? "message to"
+            : operation.method()).append(' ').append(operation.address()).append('\n');
+        learned(operation).forEach((name, what) -> text.append(String.format(Locale.ROOT, "    %-9s %s  (%s)%n",
+            name, words(what), what.source())));
+        return text.toString();
+    }
+
+    private static String words(Sourced<?> what) {
+        return what.value() instanceof barrowflow.Dispatcher.Effect effect ? Effects.word(effect)
+            : what.value().toString().toLowerCase(Locale.ROOT);
+    }
+
+    private static Map<String, Sourced<?>> learned(Operation operation) {
+        Map<String, Sourced<?>> learned = new java.util.LinkedHashMap<>();
+        learned.put("class", operation.terms().jobClass());
+        learned.put("effect", operation.terms().effect());
+        learned.put("key", operation.terms().key());
+        learned.put("deadline", operation.terms().deadline() == null ? null
+            : new Sourced<>(operation.terms().deadline().value() / 1_000 + " ms",
+                operation.terms().deadline().source()));
+        learned.put("slots", operation.terms().slots());
+        learned.put("answers", operation.terms().answers());
+        learned.values().removeIf(java.util.Objects::isNull);
+        return learned;
+    }
+
+    @Command(name = "match", description = {"Holds a request against a description; exit status 0 if it is let in,"
+        + " 1 if it is turned away.", "For AsyncAPI say MESSAGE for the method and the queue for the path; headers"
+        + " are then fields of the message's header object."})
+    static final class Match extends WithSettings {
+        @Parameters(index = "0", paramLabel = "FILE")
+        private Path file;
+
+        @Parameters(index = "1", paramLabel = "METHOD")
+        private String method;
+
+        @Parameters(index = "2", paramLabel = "PATH")
+        private String target;
+
+        @Option(names = "-H", paramLabel = "'Name: value'", description = "a header; may come several times")
+        private List<String> headers = List.of();
+
+        @Option(names = "--body", paramLabel = "FILE", description = "the request's body, or the message")
+        private Path body;
+
+        @Override
+        public Integer call() throws IOException {
+            Contract contract = contract(file, rules(settings));
+            if (contract == null) {
+                return 1;
+            }
+            byte[] bytes = body == null ? new byte[0] : Files.readAllBytes(body);
+            Verdict verdict = contract.kind() == Contract.Kind.OPENAPI
+                ? Door.decide(contract, asked(bytes), MOST_BYTES) : message(contract, bytes);
+            Problem problem = verdict.problem();
+            if (format == Format.json) {
+                ObjectNode json = JsonNodeFactory.instance.objectNode().put("letIn", verdict.letIn());
+                if (verdict.operation() != null) {
+                    json.set("operation", described(verdict.operation()));
+                }
+                json.put("key", verdict.key());
+                if (problem != null) {
+                    json.putObject("problem").put("status", problem.status()).put("title", problem.title())
+                        .put("detail", problem.detail()).put("pointer", problem.pointer());
+                }
+                print(json);
+            } else {
+                out().println(problem == null ? "let in" : "turned away, " + problem.status() + " "
+                    + problem.line());
+                if (verdict.operation() != null) {
+                    out().print(text(verdict.operation()));
+                }
+                if (verdict.key() != null) {
+                    out().println("    its key   " + verdict.key());
+                }
+                out().flush();
+            }
+            return verdict.letIn() ? 0 : 1;
+        }
+
+        private Map<String, String> fields() {
+            Map<String, String> fields = new HashMap<>();
+            for (String header : headers) {
+                int colon = header.indexOf(':');
+                if (colon < 1) {
+                    throw new ParameterException(spec.commandLine(), "-H '" + header + "' is no 'Name: value'");
+                }
+                String name = header.substring(0, colon).strip();
+                name = method.equals("MESSAGE") ? name : name.toLowerCase(Locale.ROOT);
+                if (fields.put(name, header.substring(colon + 1).strip()) != null) {
+                    throw new ParameterException(spec.commandLine(), "header " + name + " comes twice");
+                }
+            }
+            return fields;
+        }
+
+        private Verdict message(Contract contract, byte[] bytes) {
+            ObjectNode header = JsonNodeFactory.instance.objectNode();
+            fields().forEach(header::put);
+            try {
+                return Door.decide(contract, target, null, header,
+                    gorserill.contract.schema.Check.parse(bytes));
+            } catch (gorserill.contract.schema.Check.Unreadable e) {
+                throw new ParameterException(spec.commandLine(), "the message " + e.getMessage());
+            }
+        }
+
+        private Call asked(byte[] bytes) {
+            Map<String, String> fields = fields();
+            int question = target.indexOf('?');
+            return new Call() {
+                @Override
+                public String method() {
+                    return method;
+                }
+
+                @Override
+                public String path() {
+                    return question < 0 ? target : target.substring(0, question);
+                }
+
+                @Override
+                public String query() {
+                    return question < 0 ? null : target.substring(question + 1);
+                }
+
+                @Override
+                public String header(String name) {
+                    return fields.get(name);
+                }
+
+                @Override
+                public byte[] body() {
+                    return bytes;
+                }
+            };
+        }
+    }
+}
