Both fronts hold requests against contracts; the stricter effect binds each request

A description bound operations to classes and nothing else: any body got in, and a change of description counted for open requests. HTTP and Faktory now ask one door; what it turns away gets one answer (404, 405 with Allow, 413, 415, 422 as problem details, or -ERR with the same words). A request keeps the version that it was taken under.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -106,7 +106,7 @@
 
     @Override
     public void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
-                        double memory) {
+                        double memory, Effect atLeast) {
         ledger.clock(now);
         if (jobClass < 0 || jobClass >= longestTry.length || ledger.jobs.containsKey(id)) {
             throw new IllegalArgumentException("request " + id + ": unknown class or id still held");
@@ -119,7 +119,7 @@
         boolean overShare = !withinShare(tenant, age);
         double worth = good.of.worth() * (overShare ? settings.overShareWorth() : 1);
         Job job = new Job(id, now, good, key, taken, memory, worth, overShare, now - age + good.of.aim() / 2,
-            now + timeLeft);
+            now + timeLeft, atLeast);
         ledger.jobs.put(id, job);
         ledger.keySeen(key);
         if (overShare || now > job.bestBy || hopeless(job, now) || !offer(job, now)) {
@@ -180,7 +180,7 @@
             // Danger: a worker that fails what it starts has short queues, and would draw job after job.
             double run = runAt(s, job) * (1 + s.errors)
                 * (s.worker.zone() == settings.zone() ? 1 : 1 + CROSSING * settings.crossZonePrice());
-            if (s.owed && good.of.effect() == Effect.SAFE) {
+            if (s.owed && job.effect == Effect.SAFE) {
                 run = 0;
             }
             if (best == null || run < shortest || run == shortest && s.tie < best.tie) {
@@ -263,7 +263,7 @@
         }
         // Danger: a repeat of a keyed job is dropped only by its group, and only for so long.
         Attempt first = job.mayHaveRun();
-        return of.effect() == Effect.SAFE || first == null || of.effect() == Effect.KEYED
+        return job.effect == Effect.SAFE || first == null || job.effect == Effect.KEYED
             && now + period < first.sentAt + of.dedupWindow() && sameGroup(of, s.worker, first.seller.worker);
     }
 
@@ -301,13 +301,13 @@
     private boolean hopeless(Job job, long now) {
         return job.deadline <= now + 2 * period || job.attempts.size() >= settings.maxAttempts()
             || now > job.bestBy && (job.overShare || job.good.of.lateShare() <= 0)
-            || job.good.of.effect() == Effect.UNSAFE && job.mayHaveRun() != null;
+            || job.effect == Effect.UNSAFE && job.mayHaveRun() != null;
     }
 
     /** The final answer to a job that won't be served: refused where that is lawful, else failed. */
     private void giveUp(Job job) {
-        boolean lawful = job.good.of.effect() == Effect.SAFE || job.mayHaveRun() == null
-            || job.good.of.effect() == Effect.KEYED && job.good.of.group() == Group.ALL;
+        boolean lawful = job.effect == Effect.SAFE || job.mayHaveRun() == null
+            || job.effect == Effect.KEYED && job.good.of.group() == Group.ALL;
         close(job);
         if (lawful) {
             out.refuse(job.id, settings.maxRetryAfter());
--- a/src/main/java/barrowflow/Dispatcher.java
+++ b/src/main/java/barrowflow/Dispatcher.java
@@ -20,7 +20,7 @@
  */
 public interface Dispatcher {
 
-    /** May a job run twice? SAFE: freely. KEYED: where its repeats are dropped. UNSAFE: never. */
+    /** May a job run twice? SAFE: freely. KEYED: where its repeats are dropped. UNSAFE: never. Strictest last. */
     enum Effect { SAFE, KEYED, UNSAFE }
 
     /** Which workers drop a repeat of a KEYED job: all, those of one zone, those of one cell. */
@@ -119,9 +119,16 @@
      * @param key what the job is about; 0 for nothing
      * @param slots slots that it takes of a worker
      * @param memory memory units that it takes; 0 where none are counted
+     * @param atLeast what this job says of its effect; the stricter of this and its class's holds
      */
     void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
-                 double memory);
+                 double memory, Effect atLeast);
+
+    /** The same for a job that is like all of its class. */
+    default void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
+                         double memory) {
+        request(now, id, jobClass, tenant, key, timeLeft, slots, memory, Effect.SAFE);
+    }
 
     /**
      * A connection has to be opened for an attempt that was just sent, so word of its start comes later than
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -1,5 +1,6 @@
 package barrowflow;
 
+import barrowflow.Dispatcher.Effect;
 import barrowflow.Dispatcher.JobClass;
 import barrowflow.Dispatcher.Learned;
 import barrowflow.Dispatcher.Worker;
@@ -269,6 +270,7 @@
         /** Latest time to start for the full worth, as far as is known. */
         final long bestBy;
         final long deadline;
+        final Effect effect;
         final List<Attempt> attempts = new ArrayList<>(1);
         int out;
         boolean over;
@@ -276,7 +278,7 @@
         double bid;
 
         Job(long id, long arrived, Good good, long key, double slots, double memory, double worth,
-            boolean overShare, long bestBy, long deadline) {
+            boolean overShare, long bestBy, long deadline, Effect atLeast) {
             this.id = id;
             this.arrived = arrived;
             this.good = good;
@@ -287,6 +289,8 @@
             this.overShare = overShare;
             this.bestBy = bestBy;
             this.deadline = deadline;
+            Effect usual = good.of.effect();
+            effect = atLeast.compareTo(usual) > 0 ? atLeast : usual;
         }
 
         double worthAt(long now) {
--- a/src/main/java/gorserill/contract/AsyncApi.java
+++ b/src/main/java/gorserill/contract/AsyncApi.java
@@ -60,7 +60,8 @@
             channels3();
         }
         schemas.findLoops();
-        return new Contract(Contract.Kind.ASYNCAPI, title, version, operations, templates);
+        return new Contract(Contract.Kind.ASYNCAPI, title, version, root.fingerprint(), operations,
+            templates);
     }
 
     private void channel2(String address, Spot channel) {
--- a/src/main/java/gorserill/contract/Contract.java
+++ b/src/main/java/gorserill/contract/Contract.java
@@ -11,12 +11,17 @@
     private final Kind kind;
     private final String title;
     private final String version;
+    private final String fingerprint;
     private final List<Operation> operations;
     private final Templates<Map<String, Operation>> byAddress;
 
-    /** @param byAddress operations by method; by "" for channels */
-    Contract(Kind kind, String title, String version, List<Operation> operations,
+    /**
+     * @param fingerprint of the text of all files that it was read from
+     * @param byAddress operations by method; by "" for channels
+     */
+    Contract(Kind kind, String title, String version, String fingerprint, List<Operation> operations,
              Templates<Map<String, Operation>> byAddress) {
+        this.fingerprint = fingerprint;
         this.kind = kind;
         this.title = title;
         this.version = version;
@@ -37,6 +42,11 @@
         return version;
     }
 
+    /** The same for the same text only: SHA-256 in hexadecimal. */
+    public String fingerprint() {
+        return fingerprint;
+    }
+
     /** In the order of the description. */
     public List<Operation> operations() {
         return operations;
--- a/src/main/java/gorserill/contract/OpenApi.java
+++ b/src/main/java/gorserill/contract/OpenApi.java
@@ -63,7 +63,8 @@
             }
         }
         schemas.findLoops();
-        return new Contract(Contract.Kind.OPENAPI, title, version, operations, templates);
+        return new Contract(Contract.Kind.OPENAPI, title, version, root.fingerprint(), operations,
+            templates);
     }
 
     // ---- paths ----
--- a/src/main/java/gorserill/contract/Operation.java
+++ b/src/main/java/gorserill/contract/Operation.java
@@ -36,6 +36,11 @@
         return terms.jobClass() != null;
     }
 
+    /** Whether its requests ask for something to be done, rather than to be told (RFC 9110, 9.2.1). */
+    public boolean acts() {
+        return Learner.acts(method);
+    }
+
     /** How many parameters it describes. */
     public int parameterCount() {
         return parameters.size();
--- a/src/main/java/gorserill/contract/Problem.java
+++ b/src/main/java/gorserill/contract/Problem.java
@@ -22,6 +22,11 @@
         return new Problem(status, title, detail, pointer, Set.of());
     }
 
+    /** It is described, but nothing is done by it here. */
+    public static Problem unbound(String what) {
+        return of(404, "Operation not served here", what + " is described, but bound to no class of jobs", null);
+    }
+
     /** The problem details object (RFC 9457, section 3.1). */
     public byte[] json() {
         ObjectNode object = JsonNodeFactory.instance.objectNode();
--- a/src/main/java/gorserill/contract/read/Library.java
+++ b/src/main/java/gorserill/contract/read/Library.java
@@ -1,10 +1,14 @@
 package gorserill.contract.read;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -70,7 +74,14 @@
         }
     }
 
+    private final MessageDigest text;
+
     private Library(Path root, Path folder, Faults faults) {
+        try {
+            text = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
         this.root = root;
         this.folder = folder;
         this.faults = faults;
@@ -93,6 +104,14 @@
         return e instanceof NoSuchFileException ? "there is no such file" : "can't be read: " + e.getMessage();
     }
 
+    String fingerprint() {
+        try {
+            return HexFormat.of().formatHex(((MessageDigest) text.clone()).digest());
+        } catch (CloneNotSupportedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     Faults faults() {
         return faults;
     }
@@ -107,7 +126,10 @@
                 "keep it under " + DocumentReader.MAX_FILE);
             return null;
         }
-        Value value = DocumentReader.read(name, Files.readAllBytes(real), faults);
+        byte[] bytes = Files.readAllBytes(real);
+        text.update((name.length() + name + bytes.length).getBytes(StandardCharsets.UTF_8));
+        text.update(bytes);
+        Value value = DocumentReader.read(name, bytes, faults);
         Document document = value == null ? null : new Document(this, name, real, value);
         documents.put(real, document);
         return document;
--- a/src/main/java/gorserill/contract/read/Spot.java
+++ b/src/main/java/gorserill/contract/read/Spot.java
@@ -52,6 +52,11 @@
         return new Place(document.name(), member.line(), member.column(), pointer + "/" + name);
     }
 
+    /** Of the text of all files of the description that were read so far. */
+    public String fingerprint() {
+        return document.library().fingerprint();
+    }
+
     public Faults faults() {
         return document.library().faults();
     }
--- a/src/main/java/gorserill/program/FaktoryConfig.java
+++ b/src/main/java/gorserill/program/FaktoryConfig.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import gorserill.contract.Contract;
+import gorserill.contract.JobRule;
 import gorserill.protocol.ClassTerms;
 import gorserill.protocol.faktory.FaktoryTerms;
 import java.io.IOException;
@@ -16,8 +18,8 @@
     private FaktoryConfig() { }
 
     /** What the file says, checked; null where there is none or it does not enable the front. */
-    static FaktoryTerms read(Path file, List<String> classNames, Map<String, ClassTerms> classes)
-        throws ConfigException {
+    static FaktoryTerms read(Path file, List<String> classNames, Map<String, ClassTerms> classes,
+                             Map<String, JobRule> rules) throws ConfigException {
         if (!Files.isRegularFile(file)) {
             return null;
         }
@@ -37,16 +39,26 @@
             throw new ConfigException(file + ": listen", "is missing");
         }
         Map<String, String> queues = new LinkedHashMap<>();
+        Contract contract = null;
         if (values.containsKey("asyncapi")) {
-            queues.putAll(Descriptions.asyncApi(file.resolveSibling(values.get("asyncapi")), classes));
+            contract = Descriptions.read(file + ": asyncapi", file.resolveSibling(values.get("asyncapi")),
+                Contract.Kind.ASYNCAPI, rules);
+            queues.putAll(Descriptions.queues(contract));
+        }
+        for (Map.Entry<String, String> queue : bound(file, values, "queues", classes).entrySet()) {
+            if (contract != null && !queue.getValue().equals(queues.get(queue.getKey()))) {
+                throw new ConfigException(file + ": queues." + queue.getKey(), "is not what "
+                    + values.get("asyncapi") + " says of this queue; leave it out here, or describe it there");
+            }
+            queues.put(queue.getKey(), queue.getValue());
         }
-        queues.putAll(bound(file, values, "queues", classes));
         Map<String, String> jobtypes = bound(file, values, "jobtypes", classes);
         if (queues.isEmpty() && jobtypes.isEmpty()) {
             throw new ConfigException(file + ": queues", "is missing, and so is jobtypes: nothing is bound");
         }
         return new FaktoryTerms(NodeConfig.address(values.get("listen"), file + ": listen"),
-            values.getOrDefault("password", ""), queues, jobtypes, classNames, classes);
+            values.getOrDefault("password", ""), queues, jobtypes, classNames, classes,
+            contract);
     }
 
     private static Map<String, String> bound(Path file, Map<String, String> values, String under,
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -6,6 +6,7 @@
 import gorserill.common.Loop;
 import gorserill.common.Room;
 import gorserill.common.Siblings;
+import gorserill.protocol.Gate;
 import gorserill.protocol.admin.AdminFront;
 import gorserill.protocol.admin.LineCodec;
 import gorserill.protocol.discovery.Listing;
@@ -30,7 +31,6 @@
 /** A running node: its parts put together, its start and its end. */
 final class Node {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
-    private static final int MAX_BODY = 64 * 1024;
     private static final int MAX_LISTING = 4 * 1024 * 1024;
     /** A node without discovery serves from the list it knew so long after it opened. */
     private static final long FIRST_LIST = 50_000;
@@ -47,6 +47,7 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private Core core;
     private HttpFront front;
+    private Gate gate;
     private Fleet fleet;
     private HttpWatch watch;
     private FaktoryFront faktory;
@@ -98,11 +99,15 @@
         core = new Core(loop, config.settings, config.seed, watch::start, siblings);
         Bans bans = new Bans(config.folder, config.name);
         fleet = new Fleet(loop, core, terms, config.zones, config.kinds, bans::has);
+        Complaints answers =
+            new Complaints(loop, Logger.getLogger(Gate.class.getName()), "workers' answers not as described");
         if (config.faktory != null) {
-            faktory = new FaktoryFront(loop, core, config.faktory, config.seed, room, bans::has);
+            faktory = new FaktoryFront(loop, core, config.faktory,
+                new Gate(loop, config.keysFor(), answers), config.seed, room, bans::has);
         }
-        front = new HttpFront(loop, core, config.classTerms(), config.operations, transport::crowded,
-            room);
+        gate = new Gate(loop, config.keysFor(), answers);
+        gate.replace(config.contract);
+        front = new HttpFront(loop, core, config.classTerms(), gate, transport::crowded, room);
         life = new Lifecycle(loop, config.name, core, faktory == null ? List.of(front)
             : List.of(front, faktory), config.passedSocket,
             () -> listeners.forEach(Transport.Listening::end), done::countDown);
@@ -135,7 +140,7 @@
     /** Opens the fronts to clients; a socket that was passed on waits until the node is ready. */
     void open() throws IOException {
         if (!config.passedSocket) {
-            Filter codec = HttpCodec.server(loop, MAX_BODY, room);
+            Filter codec = HttpCodec.server(loop, HttpFront.MAX_BODY, room);
             listening("clients", config.listen, transport.listen(config.listen, codec, front::accept));
         }
         if (faktory != null) {
@@ -202,7 +207,7 @@
             try {
                 // Danger: whoever is accepted must be served, so nobody is before the node is ready.
                 listening("clients", config.listen,
-                    transport.listenOnPassed(HttpCodec.server(loop, MAX_BODY, room), front::accept));
+                    transport.listenOnPassed(HttpCodec.server(loop, HttpFront.MAX_BODY, room), front::accept));
             } catch (IOException e) {
                 LOG.log(Level.SEVERE, "the passed socket can''t be used: {0}", e.getMessage());
                 loop.at(loop.now() + BIND_AGAIN, () -> ready(why));
@@ -236,7 +241,7 @@
         }
         watch.moveTo(fresh.discovery);
         if (config.sameClasses(fresh)) {
-            front.reload(fresh.operations);
+            gate.replace(fresh.contract);
             if (faktory != null && fresh.faktory != null) {
                 faktory.reload(fresh.faktory);
             }
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -7,12 +7,12 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import gorserill.contract.Contract;
 import gorserill.contract.JobRule;
 import gorserill.protocol.ClassTerms;
 import gorserill.protocol.discovery.Listing;
 import gorserill.protocol.faktory.FaktoryTerms;
 import gorserill.protocol.http.LoadNames;
-import gorserill.protocol.http.Operations;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -58,7 +58,7 @@
     /** Null where the front is off. */
     final FaktoryTerms faktory;
     /** Null where no description binds the HTTP front: then its paths are the classes' names. */
-    final Operations operations;
+    final Contract contract;
 
     private final Map<String, String> values;
 
@@ -100,9 +100,10 @@
         connectTimeout = (long) number(values, "caps.connect_timeout_us", 250_000);
         connectionIdle = (long) number(values, "caps.conn_idle_us", 15_000_000);
         faktory = FaktoryConfig.read(Path.of(environment.getOrDefault("GORSERILL_FAKTORY",
-            "deploy/faktory.json")), classNames, classTerms());
+            "deploy/faktory.json")), classNames, classTerms(), jobRules());
         String openApi = environment.get("GORSERILL_OPENAPI");
-        operations = openApi == null ? null : Descriptions.openApi(Path.of(openApi), classTerms());
+        contract = openApi == null ? null : Descriptions.read("GORSERILL_OPENAPI", Path.of(openApi),
+            Contract.Kind.OPENAPI, jobRules());
     }
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
@@ -207,6 +208,12 @@
         return terms;
     }
 
+    /** How long workers know a key at the most, microseconds. */
+    long keysFor() {
+        return settings.classes().stream().filter(c -> c.effect() == Effect.KEYED)
+            .mapToLong(JobClass::dedupWindow).max().orElse(0);
+    }
+
     /** Most connections of all kinds together. */
     int connectionBudget() {
         return sockets - ownDescriptors();
--- /dev/null
+++ b/src/main/java/gorserill/protocol/Gate.java
@@ -0,0 +1,96 @@
+package gorserill.protocol;
+
+import barrowflow.Dispatcher.Effect;
+import gorserill.common.Complaints;
+import gorserill.common.Loop;
+import gorserill.contract.Contract;
+import gorserill.contract.Door;
+import gorserill.contract.Operation;
+import gorserill.contract.Terms.Answers;
+import gorserill.contract.Verdict;
+import gorserill.contract.Versions;
+import gorserill.contract.Versions.Admission;
+import gorserill.contract.Versions.Version;
+import gorserill.routing.Bond;
+import java.util.List;
+import java.util.function.Function;
+
+/** Where a front holds its requests against its contract, and what binds those that it lets in. */
+public final class Gate {
+    private final Loop loop;
+    private final Versions versions;
+    private final Complaints complaints;
+
+    /**
+     * @param repeatsFor how long a version of the contract knows its repeats after its end, microseconds
+     * @param complaints hears of workers' answers that are not as described
+     */
+    public Gate(Loop loop, long repeatsFor, Complaints complaints) {
+        this.loop = loop;
+        this.complaints = complaints;
+        versions = new Versions(repeatsFor);
+    }
+
+    /** Whether there is a contract. */
+    public boolean on() {
+        return versions.current() != null;
+    }
+
+    /** From now on this contract decides on what comes; null for none. Gives whether that is a change. */
+    public boolean replace(Contract contract) {
+        return versions.replace(contract, loop.now());
+    }
+
+    /** The version in force and those still needed, newest first. */
+    public List<Version> kept() {
+        return versions.kept();
+    }
+
+    /** Decides on a request; only where there is a contract. */
+    public Admission admit(boolean mayRepeat, Function<Contract, Verdict> decide) {
+        return versions.admit(loop.now(), mayRepeat, decide);
+    }
+
+    /** What binds a request that was let in; to be given to the core at once. */
+    public Bond bind(Admission admission, String id) {
+        versions.taken(admission);
+        return new Held(admission.version(), admission.verdict(), id);
+    }
+
+    /** Keeps the version that a request was taken under, whatever is put in force while it is open. */
+    private final class Held implements Bond {
+        private final Version version;
+        private final Verdict verdict;
+        private final String id;
+
+        Held(Version version, Verdict verdict, String id) {
+            this.version = version;
+            this.verdict = verdict;
+            this.id = id;
+        }
+
+        @Override
+        public Effect effect() {
+            return verdict.effect() == null ? Effect.SAFE : verdict.effect();
+        }
+
+        @Override
+        public boolean accepts(byte[] result) {
+            Operation operation = verdict.operation();
+            Answers answers = operation.terms().answers().value();
+            String fault = answers == Answers.OFF ? null
+                : Door.fault(operation, result == null ? new byte[0] : result);
+            if (fault == null) {
+                return true;
+            }
+            version.answeredBadly();
+            complaints.add(operation.id(), "request " + id + ": " + fault);
+            return answers != Answers.ENFORCE;
+        }
+
+        @Override
+        public void over() {
+            versions.over(version, loop.now());
+        }
+    }
+}
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -1,18 +1,25 @@
 package gorserill.protocol.faktory;
 
+import barrowflow.Dispatcher.Effect;
 import barrowflow.Dispatcher.Worker;
 import barrowflow.Dispatcher.WorkerState;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
 import gorserill.common.Complaints;
 import gorserill.common.Deadlines.Deadline;
 import gorserill.common.Loop;
 import gorserill.common.Room;
+import gorserill.contract.Door;
+import gorserill.contract.Terms;
+import gorserill.contract.Versions.Admission;
 import gorserill.protocol.ClassTerms;
 import gorserill.protocol.ClientFront;
+import gorserill.protocol.Gate;
 import gorserill.protocol.Intake;
 import gorserill.protocol.faktory.FaktoryCodec.FrameException;
 import gorserill.routing.Ask;
+import gorserill.routing.Bond;
 import gorserill.routing.Core;
 import gorserill.routing.Front;
 import gorserill.routing.Work;
@@ -69,6 +76,7 @@
     private final Room room;
     private final Complaints complaints;
     private final Predicate<String> banned;
+    private final Gate gate;
     private FaktoryTerms terms;
     private final SplittableRandom random;
     private final long startedAt;
@@ -127,11 +135,14 @@
     }
 
     /**
+     * @param gate which holds jobs against a contract, if there is one
      * @param room in which the codec keeps lines; freed here when they are done with
      * @param banned which wids operators have taken out
      */
-    public FaktoryFront(Loop loop, Core core, FaktoryTerms terms, long seed, Room room,
+    public FaktoryFront(Loop loop, Core core, FaktoryTerms terms, Gate gate, long seed, Room room,
                         Predicate<String> banned) {
+        this.gate = gate;
+        gate.replace(terms.contract());
         this.banned = banned;
         this.loop = loop;
         this.room = room;
@@ -145,6 +156,7 @@
     /** From now on other queues and job types are bound, and another password is asked for. */
     public void reload(FaktoryTerms changed) {
         terms = changed;
+        gate.replace(changed.contract());
     }
 
     /** A peer for a connection just accepted. */
@@ -388,35 +400,61 @@
             member.sessions.add(this);
         }
 
-        private void push(FaktoryJob job, String text) {
-            ClassTerms of = terms.classOf(job);
+        private void push(FaktoryJob job, String text) throws IOException {
             Boolean served = servedByJid.get(job.jid());
+            if (served != null) {
+                // Whatever is described by now: it was taken once, and that is its answer.
+                LOG.log(Level.INFO, "job {0} was pushed again; not run again", job.jid());
+                channel.write(served ? Replies.OK : Replies.error("failed: it may have run before"));
+                return;
+            }
+            Admission admission = null;
+            if (gate.on()) {
+                JsonNode unit = FaktoryJob.value(text);
+                admission = gate.admit(true, contract -> Door.decide(contract, job.queue(), job.jobtype(),
+                    unit.get("custom"), unit));
+                if (!admission.verdict().letIn()) {
+                    refuse(admission.verdict().problem().line(), false);
+                    return;
+                }
+            }
+            ClassTerms of = terms.classOf(job, admission == null ? null
+                : admission.verdict().operation().terms().className());
+            String learned = admission == null ? null : admission.verdict().key();
+            String key = learned == null ? job.idempotencyKey() : learned;
             if (of == null) {
                 refuse("neither queue " + job.queue() + " nor job type " + job.jobtype() + " is bound here",
                     false);
             } else if (job.at() != null) {
                 refuse("jobs for later are not kept here", false);
-            } else if (of.keyed() && job.idempotencyKey() == null) {
+            } else if (of.keyed() && key == null) {
                 refuse("jobs of this class need custom.idempotency_key", false);
             } else if (intake == Intake.CLOSED) {
                 refuse(refusal(core.turnedAway(of.index())), member == null);
             } else if (core.isOpen(job.jid())) {
                 refuse("job " + job.jid() + " is in progress", false);
-            } else if (served != null) {
-                LOG.log(Level.INFO, "job {0} was pushed again; not run again", job.jid());
-                channel.write(served ? Replies.OK : Replies.error("failed: it may have run before"));
             } else {
-                long left = job.remainingMs() < 0 ? of.deadline()
-                    : Math.min(of.deadline(), job.remainingMs() * 1_000);
-                Push taken = new Push(this, job.jid(), of.unsafe(), size);
-                push = taken;
-                long handle = core.take(taken, new Work(job.jid(), of.index(), null, job.idempotencyKey(),
-                    FaktoryJob.MEDIA_TYPE, text.getBytes(StandardCharsets.UTF_8)),
-                    new Ask(loop.now(), left, false, 0, 0, job.slots(), 0));
-                taken.handle = handle;
+                take(job, text, of, key, admission);
             }
         }
 
+        private void take(FaktoryJob job, String text, ClassTerms of, String key, Admission admission) {
+            Terms told = admission == null ? null : admission.verdict().operation().terms();
+            long most = told == null || told.deadline() == null ? of.deadline()
+                : Math.min(of.deadline(), told.deadline().value());
+            long left = job.remainingMs() < 0 ? most : Math.min(most, job.remainingMs() * 1_000);
+            double slots = job.slots() >= 0 ? job.slots()
+                : told == null || told.slots() == null ? 1 : told.slots().value();
+            Bond bond = admission == null ? null : gate.bind(admission, job.jid());
+            Push taken = new Push(this, job.jid(),
+                of.unsafe() || bond != null && bond.effect() == Effect.UNSAFE, size);
+            push = taken;
+            long handle = core.take(taken, new Work(job.jid(), of.index(), null, key,
+                FaktoryJob.MEDIA_TYPE, text.getBytes(StandardCharsets.UTF_8), bond),
+                new Ask(loop.now(), left, false, 0, 0, slots, 0));
+            taken.handle = handle;
+        }
+
         private void fetch(String rest) {
             queues = rest.isEmpty() ? List.of(FaktoryJob.DEFAULT_QUEUE) : List.of(rest.split(" +"));
             if (dismissed || member.state != WorkerState.READY) {
--- a/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import gorserill.contract.schema.Check;
 import gorserill.routing.Work;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -17,6 +19,7 @@
  *
  * @param reserveFor seconds; 0 where not told
  * @param at when to run it; null for now
+ * @param slots that it takes of a worker; -1 where not told
  */
 record FaktoryJob(String jid, String jobtype, String queue, long reserveFor, String at, long remainingMs,
                   String idempotencyKey, double slots) {
@@ -41,7 +44,7 @@
         String at = null;
         long remaining = -1;
         String key = null;
-        double slots = 1;
+        double slots = -1;
         try (JsonParser json = open(text)) {
             while (json.nextToken() != JsonToken.END_OBJECT) {
                 String field = json.currentName();
@@ -63,7 +66,7 @@
                             switch (name) {
                                 case "remaining_ms" -> remaining = remaining(json);
                                 case "idempotency_key" -> key = json.getValueAsString();
-                                case "slots" -> slots = json.getValueAsDouble(1);
+                                case "slots" -> slots = slots(json);
                                 default -> json.skipChildren();
                             }
                         }
@@ -84,12 +87,27 @@
             throw new IOException("jobtype is missing");
         } else if (!args) {
             throw new IOException("args must be a list");
-        } else if (!(slots >= 0 && slots < 1e6)) {
-            throw new IOException("custom.slots is out of range");
         }
         return new FaktoryJob(jid, jobtype, queue, reserveFor, at, remaining, key, slots);
     }
 
+    private static double slots(JsonParser json) throws IOException {
+        double slots = json.getValueAsDouble(1);
+        if (!(slots >= 0 && slots < 1e6)) {
+            throw new IOException("custom.slots is out of range");
+        }
+        return slots;
+    }
+
+    /** The whole unit as a contract looks at it. */
+    static JsonNode value(String text) throws IOException {
+        try {
+            return Check.parse(text.getBytes(StandardCharsets.UTF_8));
+        } catch (Check.Unreadable e) {
+            throw new IOException(e.getMessage());
+        }
+    }
+
     private static long remaining(JsonParser json) throws IOException {
         // Danger: a number that overflows, or is not above 0, would make a deadline of any kind.
         if (json.currentToken() != JsonToken.VALUE_NUMBER_INT || json.getIntValue() <= 0) {
--- a/src/main/java/gorserill/protocol/faktory/FaktoryTerms.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryTerms.java
@@ -1,5 +1,6 @@
 package gorserill.protocol.faktory;
 
+import gorserill.contract.Contract;
 import gorserill.protocol.ClassTerms;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
@@ -14,14 +15,20 @@
  * @param jobtypes the class of each job type; it goes before the queue's
  * @param classNames the settings' classes, by place
  * @param classes their terms, by name
+ * @param contract that jobs are held against; null for none
  */
 public record FaktoryTerms(InetSocketAddress listen, String password, Map<String, String> queues,
                            Map<String, String> jobtypes, List<String> classNames,
-                           Map<String, ClassTerms> classes) {
+                           Map<String, ClassTerms> classes, Contract contract) {
 
-    /** The class of a job, or null. */
-    ClassTerms classOf(FaktoryJob job) {
-        String name = jobtypes.getOrDefault(job.jobtype(), queues.get(job.queue()));
+    /**
+     * The class of a job, or null.
+     *
+     * @param described what its contract says; null where that says nothing
+     */
+    ClassTerms classOf(FaktoryJob job, String described) {
+        String queued = described == null ? queues.get(job.queue()) : described;
+        String name = jobtypes.getOrDefault(job.jobtype(), queued);
         return name == null ? null : classes.get(name);
     }
 
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -4,8 +4,13 @@
 import gorserill.common.Deadlines.Deadline;
 import gorserill.common.Loop;
 import gorserill.common.Room;
+import gorserill.contract.Door;
+import gorserill.contract.Problem;
+import gorserill.contract.Terms;
+import gorserill.contract.Versions.Admission;
 import gorserill.protocol.ClassTerms;
 import gorserill.protocol.ClientFront;
+import gorserill.protocol.Gate;
 import gorserill.protocol.Intake;
 import gorserill.routing.Ask;
 import gorserill.routing.Core;
@@ -30,6 +35,8 @@
     private static final byte[] NOTHING = {};
     private static final int MAX_WAITING = 16;
     private static final int MAX_ID = 128;
+    /** Bytes of a body. */
+    public static final int MAX_BODY = 64 * 1024;
     /** A connection may stand idle between requests for so long. */
     private static final long IDLE = 60_000_000;
     /** The first request must be whole so long after connecting, any other so long after its first byte. */
@@ -42,7 +49,7 @@
     private final Loop loop;
     private final Core core;
     private final Map<String, ClassTerms> classes;
-    private Operations operations;
+    private final Gate gate;
     private final BooleanSupplier crowded;
     private final Room room;
     private final Complaints complaints;
@@ -51,15 +58,15 @@
     private Intake intake = Intake.OPEN;
 
     /**
-     * @param operations of the description that binds the front; null for none
+     * @param gate which holds requests against a contract, if there is one
      * @param room in which the codec keeps bodies; freed here when a request is over
      */
-    public HttpFront(Loop loop, Core core, Map<String, ClassTerms> classes, Operations operations,
+    public HttpFront(Loop loop, Core core, Map<String, ClassTerms> classes, Gate gate,
                      BooleanSupplier crowded, Room room) {
         this.loop = loop;
         this.core = core;
         this.classes = classes;
-        this.operations = operations;
+        this.gate = gate;
         this.crowded = crowded;
         this.room = room;
         complaints = new Complaints(loop, LOG, "clients turned away");
@@ -70,11 +77,6 @@
         return new Client();
     }
 
-    /** From now on other operations are bound; null for none. */
-    public void reload(Operations bound) {
-        operations = bound;
-    }
-
     /** Whether {@code /healthz} says 200. */
     @Override
     public void welcome(boolean clients) {
@@ -216,29 +218,49 @@
             String path = head.second().split("\\?", 2)[0];
             if (path.equals("/healthz") && head.first().equals("GET")) {
                 respond(HttpWriter.answer(ready ? 200 : 503), NOTHING);
+            } else if (gate.on()) {
+                byContract(request);
             } else if (!head.first().equals("POST")) {
                 reject(head.first().equals("GET") ? 404 : 405,
                     "no such thing: " + head.first() + " " + path);
-            } else if (operations == null) {
+            } else {
                 int slash = path.indexOf('/', 1);
                 submit(request, path, path.substring(Math.min(1, path.length()),
-                    slash < 0 ? path.length() : slash));
+                    slash < 0 ? path.length() : slash), null);
+            }
+        }
+
+        private void byContract(HttpRequest request) {
+            HttpCall call = HttpCall.of(request);
+            Admission admission = gate.admit("1".equals(call.header("x-resent")),
+                contract -> Door.decide(contract, call, MAX_BODY));
+            Problem problem = admission.verdict().problem();
+            if (problem != null) {
+                turnAway(problem);
+            } else if (!admission.verdict().operation().submits()) {
+                turnAway(Problem.unbound(call.method() + " " + call.path()));
             } else {
-                Operations.Operation operation = operations.find("POST", path);
-                if (operation == null) {
-                    reject(operations.knows(path) ? 405 : 404, "no such operation: POST " + path);
-                } else {
-                    submit(request, path, operation.jobClass());
-                }
+                submit(request, call.path(), admission.verdict().operation().terms().className(), admission);
             }
         }
 
-        private void submit(HttpRequest request, String path, String jobClass) {
+        /** What its contract does not let in is told so, and may go on: it speaks HTTP well enough. */
+        private void turnAway(Problem problem) {
+            complaints.add(Integer.toString(problem.status()),
+                "connection " + channel.number() + ": " + problem.line());
+            respond(HttpWriter.answer(problem.status()).header("Content-Type", Problem.MEDIA_TYPE)
+                .header("Allow", problem.allow().isEmpty() ? null : String.join(", ", problem.allow())),
+                problem.json());
+        }
+
+        /** @param admission by the contract; null where there is none */
+        private void submit(HttpRequest request, String path, String jobClass, Admission admission) {
             HttpHead head = request.head();
             ClassTerms terms = classes.get(jobClass);
             String lane = head.header("x-lane");
             String id = head.header("x-txn");
-            String effectKey = head.header("idempotency-key");
+            String learned = admission == null ? null : admission.verdict().key();
+            String effectKey = learned == null ? head.header("idempotency-key") : learned;
             if (terms == null) {
                 reject(404, "unknown class " + jobClass);
             } else if (lane != null && !lane.equals(jobClass)) {
@@ -259,9 +281,13 @@
                 Ask ask;
                 try {
                     Labels labels = Labels.of(head);
-                    ask = new Ask(request.arrived(), labels.remaining(terms.deadline()),
+                    Terms told = admission == null ? null : admission.verdict().operation().terms();
+                    long most = told == null || told.deadline() == null ? terms.deadline()
+                        : Math.min(terms.deadline(), told.deadline().value());
+                    double slots = told == null || told.slots() == null ? 1 : told.slots().value();
+                    ask = new Ask(request.arrived(), labels.remaining(most),
                         "1".equals(head.header("x-resent")), 0, labels.key(),
-                        labels.number("slots", "width", 1), labels.number("memory", "ram_units", 0));
+                        labels.number("slots", "width", slots), labels.number("memory", "ram_units", 0));
                 } catch (NumberFormatException e) {
                     reject(400, "an unreadable number in the headers: " + e.getMessage());
                     return;
@@ -269,7 +295,8 @@
                 proven = true;
                 // The handle is known only when take() returns; the answer may come before that.
                 long taken = core.take(this, new Work(id, terms.index(), head.second(), effectKey,
-                    head.header("content-type"), request.body()), ask);
+                    head.header("content-type"), request.body(),
+                    admission == null ? null : gate.bind(admission, id)), ask);
                 handle = current == request ? taken : handle;
             }
         }
--- a/src/main/java/gorserill/protocol/http/HttpWriter.java
+++ b/src/main/java/gorserill/protocol/http/HttpWriter.java
@@ -52,6 +52,8 @@
             case 408 -> "Request Timeout";
             case 409 -> "Conflict";
             case 413 -> "Content Too Large";
+            case 415 -> "Unsupported Media Type";
+            case 422 -> "Unprocessable Content";
             case 431 -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
             case 501 -> "Not Implemented";
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -77,7 +77,8 @@
     public long take(Front front, Work work, Ask ask) {
         long now = now();
         long expires = Math.min(answerBy, ask.arrived() + ask.timeLeft());
-        Request request = new Request(front, work, expires);
+        JobClass of = settings.classes().get(work.jobClass());
+        Request request = new Request(front, work, expires, of);
         request.handle = requests.add(request);
         open++;
         openIds.add(work.id());
@@ -92,10 +93,9 @@
         request.deadline = loop.at(expires, () -> expire(request));
         // Danger: the module takes whoever waits for less than others for one who asks again late, and gives
         // up on the job. Only a client that says so does; the core itself keeps the client's own time.
-        long deadline = settings.classes().get(work.jobClass()).deadline();
-        long told = ask.repeat() ? ask.timeLeft() : Math.max(ask.timeLeft(), deadline);
+        long told = ask.repeat() ? ask.timeLeft() : Math.max(ask.timeLeft(), of.deadline());
         module.request(now, request.handle, work.jobClass(), ask.tenant(), ask.key(), told, ask.slots(),
-            ask.memory());
+            ask.memory(), request.effect);
         return request.handle;
     }
 
@@ -203,8 +203,15 @@
         // The answer goes out before the module learns of it: it waits for nobody's bookkeeping.
         if (outcome == Outcome.SERVED && !request.over) {
             conclude(request);
-            tally.countServed(request.work.jobClass());
-            request.front.served(result);
+            Bond bond = request.work.bond();
+            if (bond == null || bond.accepts(result)) {
+                tally.countServed(request.work.jobClass());
+                request.front.served(result);
+            } else {
+                // Danger: the job has run; a bad answer is never a reason to run it again.
+                tally.countFailed(request.work.jobClass());
+                request.front.failed();
+            }
         }
         module.ended(now(), request.handle, attempt.number, outcome, request.over, load.freeSlots(),
             load.freeMemory());
@@ -263,8 +270,9 @@
     }
 
     private void release(Request request) {
-        if (request.over && request.out == 0) {
-            requests.remove(request.handle);
+        if (request.over && request.out == 0 && requests.remove(request.handle) != null
+            && request.work.bond() != null) {
+            request.work.bond().over();
         }
     }
 
@@ -283,10 +291,18 @@
             LOG.log(Level.SEVERE, "the module sent request {0}, which is over; not sent", handle);
             return;
         }
+        boolean lawful = request.mayBeSent(settings.classes().get(request.work.jobClass()));
         Attempt attempt = new Attempt(this, request, request.attempts.size(), ports.get(worker));
         request.attempts.add(attempt);
         request.out++;
         attempt.handle = attempts.add(attempt);
+        if (!lawful) {
+            LOG.log(Level.SEVERE, "the module sent request {0} again, which may have run; not sent",
+                request.work.id());
+            // Its outcome comes as an event of its own: the module is in the middle of a call.
+            loop.execute(() -> ended(attempt, Outcome.NOT_SENT, null, Load.NONE));
+            return;
+        }
         attempt.port.start(attempt, request.work, request.expires);
     }
 
@@ -331,8 +347,8 @@
 
     private boolean mayRefuse(Request request) {
         JobClass of = settings.classes().get(request.work.jobClass());
-        return provedNeverRun(request) || of.effect() == Dispatcher.Effect.SAFE
-            || of.effect() == Dispatcher.Effect.KEYED && of.group() == Dispatcher.Group.ALL;
+        return provedNeverRun(request) || request.effect == Dispatcher.Effect.SAFE
+            || request.effect == Dispatcher.Effect.KEYED && of.group() == Dispatcher.Group.ALL;
     }
 
     private boolean provedNeverRun(Request request) {
--- a/src/main/java/gorserill/routing/Request.java
+++ b/src/main/java/gorserill/routing/Request.java
@@ -1,5 +1,7 @@
 package gorserill.routing;
 
+import barrowflow.Dispatcher.Effect;
+import barrowflow.Dispatcher.JobClass;
 import gorserill.common.Deadlines.Deadline;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,6 +11,8 @@
     final Front front;
     final Work work;
     final long expires;
+    /** The stricter of what its class and what binds it say. */
+    final Effect effect;
     final List<Attempt> attempts = new ArrayList<>(1);
     long handle;
     Deadline deadline;
@@ -16,9 +20,30 @@
     boolean over;
     int out;
 
-    Request(Front front, Work work, long expires) {
+    Request(Front front, Work work, long expires, JobClass of) {
+        effect = effect(work, of);
         this.front = front;
         this.work = work;
         this.expires = expires;
     }
+
+    /**
+     * Danger: a bond can be keyed where the class is safe. Nothing then says that workers of that class drop
+     * repeats, whatever key they are told, so none are sent.
+     */
+    private static Effect effect(Work work, JobClass of) {
+        Effect told = work.bond() == null ? Effect.SAFE : work.bond().effect();
+        return told.compareTo(of.effect()) <= 0 ? of.effect() : Effect.UNSAFE;
+    }
+
+    /** Whether an attempt may be made: none before it may have run, or a repeat does no harm. */
+    boolean mayBeSent(JobClass of) {
+        for (Attempt attempt : attempts) {
+            if (!attempt.neverRan && (effect == Effect.UNSAFE
+                || effect == Effect.KEYED && of.effect() != Effect.KEYED)) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
--- a/src/main/java/gorserill/routing/Work.java
+++ b/src/main/java/gorserill/routing/Work.java
@@ -9,6 +9,13 @@
  * @param effectKey what workers tell repeats by; null where the job has none
  * @param contentType of the body; null where not told
  * @param body passed on unread
+ * @param bond what binds this job beyond its class; null for nothing
  */
 public record Work(String id, int jobClass, String route, String effectKey, String contentType,
-                   byte[] body) { }
+                   byte[] body, Bond bond) {
+
+    /** A job that nothing but its class binds. */
+    public Work(String id, int jobClass, String route, String effectKey, String contentType, byte[] body) {
+        this(id, jobClass, route, effectKey, contentType, body, null);
+    }
+}
