--- a/src/main/java/gorserill/contract/Templates.java
+++ b/src/main/java/gorserill/contract/Templates.java
@@ -52,9 +52,9 @@
 
     private final Branch<T> root = new Branch<>();
 
-    /** The names of the parameters, in order. */
-    static Set<String> parameters(String template) {
-        Set<String> names = new TreeSet<>();
+    /** The names of the parameters as they come in a template. */
+    static List<String> inOrder(String template) {
+        List<String> names = new ArrayList<>();
         Matcher matcher = PARAMETER.matcher(template);
         while (matcher.find()) {
             names.add(matcher.group(1));
@@ -62,6 +62,11 @@
         return names;
     }
 
+    /** The names of the parameters, each once. */
+    static Set<String> parameters(String template) {
+        return new TreeSet<>(inOrder(template));
+    }
+
     /**
      * Takes a template in. Two that differ in their parameters' names alone are the same (OpenAPI 3.1.1,
      * 4.8.8.2).
--- a/src/main/java/gorserill/contract/schema/SchemaBundle.java
+++ b/src/main/java/gorserill/contract/schema/SchemaBundle.java
@@ -377,6 +377,13 @@
             types.add(type.textValue());
         }
         type.forEach(one -> types.add(one.asText()));
+        if (type.isMissingNode()) {
+            // Values that are spelt out tell their types.
+            node.path("enum").forEach(value -> types.add(typeOf(value)));
+            if (node.has("const")) {
+                types.add(typeOf(node.get("const")));
+            }
+        }
         Shape items = node.has("items") ? shape(node.get("items"), depth - 1) : null;
         Map<String, Shape> members = new HashMap<>();
         node.path("properties").properties().forEach(e ->
@@ -397,6 +404,17 @@
         return new Shape(Collections.unmodifiableSet(types), items, Collections.unmodifiableMap(members));
     }
 
+    private static String typeOf(JsonNode value) {
+        return switch (value.getNodeType()) {
+            case OBJECT -> "object";
+            case ARRAY -> "array";
+            case NUMBER -> "number";
+            case BOOLEAN -> "boolean";
+            case NULL -> "null";
+            default -> "string";
+        };
+    }
+
     // ---- at work ----
 
     /** A definition's validator; what it refers to is compiled when it is first used. */
--- a/src/main/java/gorserill/program/command/ContractCommand.java
+++ b/src/main/java/gorserill/program/command/ContractCommand.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gorserill.contract.Call;
+import gorserill.contract.Comparison;
 import gorserill.contract.Contract;
 import gorserill.contract.ContractReader;
 import gorserill.contract.Door;
@@ -35,7 +36,8 @@
 
 /** What can be asked about descriptions without a node. */
 @Command(name = "contract", description = "Checks, shows and compares OpenAPI and AsyncAPI descriptions.",
-    subcommands = {ContractCommand.Check.class, ContractCommand.Show.class, ContractCommand.Match.class},
+    subcommands = {ContractCommand.Check.class, ContractCommand.Show.class, ContractCommand.Match.class,
+        ContractCommand.Diff.class},
     mixinStandardHelpOptions = true)
 final class ContractCommand implements Runnable {
     /** As the node's front has it. */
@@ -200,6 +202,42 @@
         return learned;
     }
 
+    @Command(name = "diff", description = "Tells each change as compatible or breaking; exit status 0 if none is"
+        + " breaking, else 1.")
+    static final class Diff extends WithSettings {
+        @Parameters(index = "0", paramLabel = "OLD")
+        private Path before;
+
+        @Parameters(index = "1", paramLabel = "NEW")
+        private Path after;
+
+        @Override
+        public Integer call() {
+            Map<String, JobRule> rules = rules(settings);
+            Contract was = contract(before, rules);
+            Contract is = contract(after, rules);
+            if (was == null || is == null) {
+                return 1;
+            }
+            List<Comparison.Change> changes = Comparison.compare(was, is);
+            long breaking = changes.stream().filter(Comparison.Change::breaking).count();
+            if (format == Format.json) {
+                ObjectNode json = JsonNodeFactory.instance.objectNode().put("breaking", breaking);
+                ArrayNode list = json.putArray("changes");
+                changes.forEach(change -> list.addObject().put("breaking", change.breaking())
+                    .put("side", change.side().name().toLowerCase(Locale.ROOT))
+                    .put("operation", change.operation()).put("where", change.where())
+                    .put("what", change.what()));
+                print(json);
+            } else {
+                changes.forEach(change -> out().println(change));
+                out().println(changes.size() + " changes, " + breaking + " breaking");
+                out().flush();
+            }
+            return breaking == 0 ? 0 : 1;
+        }
+    }
+
     @Command(name = "match", description = {"Holds a request against a description; exit status 0 if it is let in,"
         + " 1 if it is turned away.", "For AsyncAPI say MESSAGE for the method and the queue for the path; headers"
         + " are then fields of the message's header object."})
