demo, contract export, and properties that make requests from descriptions

A newcomer's first command failed, since serve needs a configuration; and the descriptions under deploy/ were written by hand. demo starts discovery, three stand-in workers and a node with both fronts under the exported contracts, tells curl lines and shows what became of a few jobs. contract export makes the descriptions from the settings; those under deploy/ are its output, which a test holds. jqwik properties make descriptions from seeds, 10,000 requests that conform and 10,000 that don't for each front.

--- a/src/main/java/gorserill/program/Logging.java
+++ b/src/main/java/gorserill/program/Logging.java
@@ -20,7 +20,12 @@
     private Logging() { }
 
     static void setUp() {
-        String level = System.getenv().getOrDefault("GORSERILL_LOG", "INFO");
+        setUp("INFO");
+    }
+
+    /** @param otherwise the level where {@code GORSERILL_LOG} says none */
+    static void setUp(String otherwise) {
+        String level = System.getenv().getOrDefault("GORSERILL_LOG", otherwise);
         try {
             LogManager.getLogManager().readConfiguration(new ByteArrayInputStream(
                 (SET_UP + "gorserill.level=" + level + "\n").getBytes(StandardCharsets.UTF_8)));
--- a/src/main/java/gorserill/program/Main.java
+++ b/src/main/java/gorserill/program/Main.java
@@ -1,8 +1,11 @@
 package gorserill.program;
 
+import gorserill.program.command.ContractCommand;
 import gorserill.program.command.Gorserill;
 import gorserill.program.command.Gorserill.Brought;
+import gorserill.program.demo.Demo;
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sun.misc.Signal;
@@ -28,6 +31,8 @@
             case "adapter" -> System.exit(adapter());
             default -> System.exit(Gorserill.execute(args,
                 new Brought("serve", "Runs a node, as NODE_CONFIG says.", Main::serve),
+                new Brought("demo", "Runs a node with workers on this machine, and shows what becomes of jobs.",
+                    Main::demo),
                 new Brought("adapter", "Runs the decisions on the simulator's wire.", Main::adapter),
                 new Brought("rehearse", "Runs a node's start, for the archive of classes.", Main::rehearse)));
         }
@@ -38,6 +43,29 @@
         return 0;
     }
 
+    private static int demo() throws Exception {
+        Logging.setUp("WARNING");
+        Demo.run(System.out, environment -> {
+            NodeConfig config = NodeConfig.read(environment);
+            Node node = new Node(config, environment);
+            node.prepare();
+            WarmUp.run(node.settings());
+            node.open();
+            node.awaitReady();
+            return node::stop;
+        }, ContractCommand::export, Main::untilInterrupted);
+        return 0;
+    }
+
+    /** Ctrl-C ends the JVM; nothing here needs to be told before. */
+    private static void untilInterrupted() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static int rehearse() throws IOException {
         Logging.setUp();
         try {
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -45,6 +45,7 @@
     private final Transport transport;
     private final Room room;
     private final CountDownLatch done = new CountDownLatch(1);
+    private final CountDownLatch readied = new CountDownLatch(1);
     private Core core;
     private HttpFront front;
     private Gate gate;
@@ -216,6 +217,12 @@
         }
         LOG.log(Level.INFO, "{0} is ready: {1}", new Object[] {config.name, why});
         life.started();
+        readied.countDown();
+    }
+
+    /** Waits until clients are served. */
+    void awaitReady() throws InterruptedException {
+        readied.await();
     }
 
     /**
--- a/src/main/java/gorserill/program/command/ContractCommand.java
+++ b/src/main/java/gorserill/program/command/ContractCommand.java
@@ -9,6 +9,7 @@
 import gorserill.contract.ContractReader;
 import gorserill.contract.Door;
 import gorserill.contract.Effects;
+import gorserill.contract.Export;
 import gorserill.contract.JobRule;
 import gorserill.contract.Operation;
 import gorserill.contract.Problem;
@@ -22,6 +23,7 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -37,9 +39,9 @@
 /** What can be asked about descriptions without a node. */
 @Command(name = "contract", description = "Checks, shows and compares OpenAPI and AsyncAPI descriptions.",
     subcommands = {ContractCommand.Check.class, ContractCommand.Show.class, ContractCommand.Match.class,
-        ContractCommand.Diff.class},
+        ContractCommand.Diff.class, ContractCommand.ExportTo.class},
     mixinStandardHelpOptions = true)
-final class ContractCommand implements Runnable {
+public final class ContractCommand implements Runnable {
     /** As the node's front has it. */
     private static final int MOST_BYTES = 64 * 1024;
 
@@ -238,6 +240,42 @@
         }
     }
 
+    /** Writes the descriptions of a node's own fronts, {@code openapi.json} and {@code asyncapi.json}. */
+    public static void export(Path settings, Path folder) throws IOException, ConfigException {
+        Collection<JobRule> rules = NodeConfig.jobRules(settings).values();
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("openapi.json"), Export.openApi(rules).toPrettyString() + "\n");
+        Files.writeString(folder.resolve("asyncapi.json"), Export.asyncApi(rules).toPrettyString() + "\n");
+    }
+
+    @Command(name = "export", description = "Makes the descriptions of a node's own fronts from its settings.")
+    static final class ExportTo extends Base {
+        @Option(names = "--settings", paramLabel = "FILE", required = true,
+            description = "a node's configuration, as NODE_CONFIG names it")
+        private Path settings;
+
+        @Option(names = "--to", paramLabel = "FOLDER", description = "where to write openapi.json and"
+            + " asyncapi.json; if not said, both are printed")
+        private Path folder;
+
+        @Override
+        public Integer call() throws IOException {
+            Collection<JobRule> rules = rules(settings).values();
+            try {
+                if (folder != null) {
+                    export(settings, folder);
+                    return 0;
+                }
+            } catch (ConfigException e) {
+                throw new ParameterException(spec.commandLine(), settings + ": " + e.getMessage());
+            }
+            ObjectNode both = JsonNodeFactory.instance.objectNode();
+            both.set("openapi", Export.openApi(rules));
+            both.set("asyncapi", Export.asyncApi(rules));
+            return print(both);
+        }
+    }
+
     @Command(name = "match", description = {"Holds a request against a description; exit status 0 if it is let in,"
         + " 1 if it is turned away.", "For AsyncAPI say MESSAGE for the method and the queue for the path; headers"
         + " are then fields of the message's header object."})
--- /dev/null
+++ b/src/main/java/gorserill/program/demo/Demo.java
@@ -0,0 +1,167 @@
+package gorserill.program.demo;
+
+import gorserill.program.demo.StandInWorker.Kind;
+import gorserill.program.demo.StandInWorker.Reaction;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a newcomer runs first: discovery, three workers and a node with both fronts under the exported contracts, in
+ * one process on loopback.
+ */
+public final class Demo {
+    private static final int WORKERS = 3;
+    private static final int FAKTORY_WAIT = 5_000;
+    /** A node that has just begun knows little of its workers, and may ask a client to come back. */
+    private static final int TRIES = 5;
+
+    /** Starts a node; gives what ends it. */
+    @FunctionalInterface
+    public interface NodeStart {
+        AutoCloseable start(Map<String, String> environment) throws Exception;
+    }
+
+    /** Writes the exported descriptions of a configuration into a folder. */
+    @FunctionalInterface
+    public interface Exporter {
+        void export(Path settings, Path folder) throws Exception;
+    }
+
+    private final PrintStream out;
+    private final Path folder;
+    private final int clients = free();
+    private final int faktory = free();
+    private final int operators = free();
+
+    private Demo(PrintStream out) throws IOException {
+        this.out = out;
+        folder = Files.createTempDirectory("gorserill-demo");
+    }
+
+    private static int free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /**
+     * Runs the demo until {@code until} returns.
+     *
+     * @param out what is told goes here
+     */
+    public static void run(PrintStream out, NodeStart node, Exporter exporter, Runnable until) throws Exception {
+        new Demo(out).play(node, exporter, until);
+    }
+
+    private void play(NodeStart node, Exporter exporter, Runnable until) throws Exception {
+        List<StandInWorker> workers = new ArrayList<>();
+        Map<String, Integer> runs = StandInWorker.counts();
+        try (StandInDiscovery discovery = new StandInDiscovery()) {
+            for (int w = 1; w <= WORKERS; w++) {
+                String name = "worker-" + w;
+                workers.add(new StandInWorker(name, runs, job -> new Reaction(
+                    new String(job.body(), StandardCharsets.UTF_8).contains("fail") ? Kind.FAILED : Kind.DONE,
+                    job.lane().equals("historial") ? 200 : 30, "\"" + job.lane() + " done by " + name + "\"")));
+            }
+            discovery.list(workers);
+            Path settings = folder.resolve("node.json");
+            try (InputStream text = Demo.class.getResourceAsStream("/gorserill/program/demo.json")) {
+                Files.writeString(settings, new String(text.readAllBytes(), StandardCharsets.UTF_8)
+                    .replace("CLIENTS", "" + clients).replace("OPERATORS", "" + operators)
+                    .replace("DISCOVERY", "" + discovery.address().getPort())
+                    .replace("\"endpoints\": []", "\"endpoints\": [" + StandInDiscovery.entries(workers) + "]"));
+            }
+            exporter.export(settings, folder);
+            Path faktoryFile = folder.resolve("faktory.json");
+            Files.writeString(faktoryFile, "{\"enabled\": true, \"listen\": \"127.0.0.1:" + faktory
+                + "\", \"asyncapi\": \"asyncapi.json\"}");
+            try (AutoCloseable running = node.start(Map.of("NODE_CONFIG", settings.toString(),
+                "GORSERILL_FAKTORY", faktoryFile.toString(),
+                "GORSERILL_OPENAPI", folder.resolve("openapi.json").toString()))) {
+                introduce();
+                tryOut();
+                out.println("\nIt runs until Ctrl-C.");
+                until.run();
+            }
+        } finally {
+            for (StandInWorker worker : workers) {
+                worker.close();
+            }
+        }
+    }
+
+    private void introduce() {
+        out.println("A node with " + WORKERS + " workers, all on this machine:");
+        out.println("  HTTP clients     http://127.0.0.1:" + clients);
+        out.println("  Faktory clients  127.0.0.1:" + faktory + " (tcp, no password)");
+        out.println("  operators        127.0.0.1:" + operators + ", for instance: echo telemetry | nc 127.0.0.1 "
+            + operators);
+        out.println("  its files        " + folder + "\n");
+        out.println("A job of each class:");
+        for (String name : List.of("estado", "historial", "alerta", "cierre")) {
+            out.println("  curl -i -X POST http://127.0.0.1:" + clients + "/" + name + " -H 'X-Txn: '$RANDOM$RANDOM"
+                + (name.equals("cierre") ? " -H 'Idempotency-Key: k1'" : "") + " -d 'hello'");
+        }
+        out.println("\nWhat became of a few jobs:");
+    }
+
+    private void tryOut() throws Exception {
+        HttpClient client = HttpClient.newHttpClient();
+        send(client, "/estado", "d1", null, "hello");
+        send(client, "/historial", "d2", null, "hello");
+        send(client, "/alerta", "d3", null, "hello");
+        send(client, "/alerta", "d4", null, "please fail");
+        send(client, "/cierre", "d5", "k1", "hello");
+        send(client, "/cierre", "d6", null, "hello");
+        send(client, "/nothing", "d7", null, "hello");
+        push("{\"jid\":\"demo-job-1\",\"jobtype\":\"demo\",\"queue\":\"estado\",\"args\":[\"hello\"]}");
+        push("{\"jid\":\"demo-job-2\",\"jobtype\":\"demo\",\"queue\":\"cierre\",\"args\":[\"hello\"]}");
+    }
+
+    private void send(HttpClient client, String path, String id, String key, String body) throws Exception {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + clients + path))
+            .header("X-Txn", id).POST(HttpRequest.BodyPublishers.ofString(body));
+        if (key != null) {
+            request.header("Idempotency-Key", key);
+        }
+        out.printf("  POST %-11s%s '%s' -> ", path, key == null ? "" : " (key " + key + ")", body);
+        for (int tries = 0; tries < TRIES; tries++) {
+            HttpResponse<String> answer = client.send(request.setHeader("X-Txn", id + "-" + tries).build(),
+                HttpResponse.BodyHandlers.ofString());
+            if (answer.statusCode() != 503) {
+                out.println(answer.statusCode() + " " + answer.body());
+                return;
+            }
+            String seconds = answer.headers().firstValue("Retry-After").orElse("1");
+            out.print("503, come back in " + seconds + " s -> ");
+            Thread.sleep((long) (Double.parseDouble(seconds) * 1_000));
+        }
+        out.println("given up");
+    }
+
+    private void push(String job) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), faktory)) {
+            socket.setSoTimeout(FAKTORY_WAIT);
+            var in = new java.io.BufferedReader(new java.io.InputStreamReader(socket.getInputStream(),
+                StandardCharsets.UTF_8));
+            in.readLine();
+            socket.getOutputStream().write(("HELLO {\"v\":2}\r\nPUSH " + job + "\r\n").getBytes(StandardCharsets.UTF_8));
+            in.readLine();
+            out.println("  PUSH " + job + " -> " + in.readLine());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/program/demo/StandInWorker.java
@@ -0,0 +1,82 @@
+package gorserill.program.demo;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/**
+ * A worker of the platform's protocol that does nothing, slowly or badly as it is told, and counts. A job counts
+ * as run from the moment that the worker says so, or that it could have begun: whatever breaks after its last byte.
+ */
+public final class StandInWorker extends StandIn {
+    /** What a worker does with a job that it was sent. */
+    public enum Kind { DONE, FAILED, RESET, LATE }
+
+    /**
+     * How it does it.
+     *
+     * @param millis that it takes
+     * @param result a JSON value, where it is done
+     */
+    public record Reaction(Kind kind, int millis, String result) { }
+
+    /**
+     * A job as it came.
+     *
+     * @param key null where it has none
+     * @param run which run of its id this is, over all workers with the same counts, from 1
+     */
+    public record Job(String lane, String id, String key, byte[] body, int run) { }
+
+    private final String name;
+    private final Function<Job, Reaction> behaviour;
+    private final Map<String, Integer> runs;
+
+    /**
+     * A worker.
+     *
+     * @param runs by id, shared among workers
+     */
+    public StandInWorker(String name, Map<String, Integer> runs, Function<Job, Reaction> behaviour)
+        throws IOException {
+        this.name = name;
+        this.runs = runs;
+        this.behaviour = behaviour;
+    }
+
+    /** Counts that several workers can share. */
+    public static Map<String, Integer> counts() {
+        return new ConcurrentHashMap<>();
+    }
+
+    public String name() {
+        return name;
+    }
+
+    @Override
+    void answer(Asked asked, Socket to) throws IOException, InterruptedException {
+        String id = asked.headers().getOrDefault("x-txn", "");
+        int run = runs.merge(id, 1, Integer::sum);
+        Reaction reaction = behaviour.apply(new Job(asked.headers().getOrDefault("x-lane", ""), id,
+            asked.headers().get("idempotency-key"), asked.body(), run));
+        if (reaction.kind() == Kind.RESET) {
+            Thread.sleep(reaction.millis());
+            // Without lingering, a close is a reset.
+            to.setSoLinger(true, 0);
+            to.close();
+            return;
+        }
+        write(to, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(to, "{\"state\":\"started\"}\n");
+        Thread.sleep(reaction.millis());
+        chunk(to, reaction.kind() == Kind.FAILED ? "{\"state\":\"failed\"}\n"
+            : "{\"state\":\"done\",\"result\":" + reaction.result() + "}\n");
+        write(to, "0\r\n\r\n");
+    }
+
+    private static void chunk(Socket to, String text) throws IOException {
+        write(to, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+}
