--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -24,8 +24,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import org.glassfish.grizzly.filterchain.Filter;
 
 /** A running node: its parts put together, its start and its end. */
@@ -131,7 +133,8 @@
         }
         loop.start();
         if (config.admin != null) {
-            AdminFront admin = new AdminFront(loop, new OperatorCalls(life, maintenance, figures).byName());
+            AdminFront admin = new AdminFront(loop, new OperatorCalls(life, maintenance, figures,
+                this::contracts, this::reload).byName());
             loop.execute(() -> listenOnceFree("operators", config.admin, () ->
                 transport.listenApart(config.admin, new LineCodec(), admin::accept,
                     NodeConfig.ADMIN_CONNECTIONS)));
@@ -231,15 +234,40 @@
      * Any thread but the loop's may call it: reading and checking must not hold up requests.
      */
     synchronized void reload() {
+        read(fault -> { });
+    }
+
+    /** The same from the loop's thread; what is wrong, or null, is told there once it is known. */
+    private void reload(Consumer<String> outcome) {
+        Thread reader = new Thread(() -> {
+            synchronized (this) {
+                read(outcome);
+            }
+        }, "reload");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read(Consumer<String> outcome) {
         try {
             NodeConfig fresh = NodeConfig.reread(environment);
-            loop.execute(() -> apply(fresh));
+            loop.execute(() -> {
+                apply(fresh);
+                outcome.accept(null);
+            });
         } catch (ConfigException e) {
             LOG.log(Level.SEVERE, "reload: configuration: {0}; the old one stays in force", e.getMessage());
-            loop.execute(() -> figures.reloaded(false));
+            loop.execute(() -> {
+                figures.reloaded(false);
+                outcome.accept(e.getMessage().lines().collect(Collectors.joining(" | ")));
+            });
         }
     }
 
+    private String contracts() {
+        return gate.text("http") + (faktory == null ? "" : faktory.gate().text("faktory")) + "eof\n";
+    }
+
     private void apply(NodeConfig fresh) {
         LOG.log(Level.INFO, "{0}: configuration read again", config.name);
         figures.reloaded(true);
--- a/src/main/java/gorserill/program/OperatorCalls.java
+++ b/src/main/java/gorserill/program/OperatorCalls.java
@@ -3,6 +3,8 @@
 import gorserill.protocol.admin.AdminFront;
 import gorserill.protocol.admin.AdminFront.Call;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** What operators can ask of the node, by the names of the calls. */
 final class OperatorCalls {
@@ -10,7 +12,17 @@
     private final Maintenance maintenance;
     private final Figures figures;
 
-    OperatorCalls(Lifecycle life, Maintenance maintenance, Figures figures) {
+    private final Supplier<String> contracts;
+    private final Consumer<Consumer<String>> reload;
+
+    /**
+     * @param contracts tells of the contracts' versions, a line each
+     * @param reload reads the configuration again and tells, on the loop's thread, what is wrong with it, or null
+     */
+    OperatorCalls(Lifecycle life, Maintenance maintenance, Figures figures, Supplier<String> contracts,
+                  Consumer<Consumer<String>> reload) {
+        this.contracts = contracts;
+        this.reload = reload;
         this.figures = figures;
         this.life = life;
         this.maintenance = maintenance;
@@ -18,6 +30,9 @@
 
     Map<String, Call> byName() {
         return Map.of(
+            "contract", about -> contracts.get(),
+            "reload", new AdminFront.Later((about, to) -> reload.accept(fault ->
+                to.accept(AdminFront.answer(fault == null, fault)))),
             "readyz", about -> AdminFront.answer(life.up(), "it does not serve yet, or no more"),
             "telemetry", about -> figures.text(),
             "exclude", worker -> maintain(worker, true),
--- a/src/main/java/gorserill/protocol/Gate.java
+++ b/src/main/java/gorserill/protocol/Gate.java
@@ -46,6 +46,24 @@
         return versions.kept();
     }
 
+    /** A line for each version, the one in force first. */
+    public String text(String front) {
+        StringBuilder text = new StringBuilder();
+        for (Version version : versions.kept()) {
+            Contract contract = version.contract();
+            text.append(front).append(" version ").append(version.number())
+                .append(version == versions.current() ? " in force" : " old")
+                .append(" described=").append(contract.version().replace(' ', '_'))
+                .append(" text=").append(contract.fingerprint(), 0, 12)
+                .append(" taken=").append(version.taken()).append(" open=").append(version.open())
+                .append(" bad_answers=").append(version.badAnswers());
+            version.turnedAway().forEach((status, count) ->
+                text.append(" turned_away_").append(status).append('=').append(count));
+            text.append('\n');
+        }
+        return text.length() == 0 ? front + " no contract\n" : text.toString();
+    }
+
     /** Decides on a request; only where there is a contract. */
     public Admission admit(boolean mayRepeat, Function<Contract, Verdict> decide) {
         return versions.admit(loop.now(), mayRepeat, decide);
--- a/src/main/java/gorserill/protocol/admin/AdminFront.java
+++ b/src/main/java/gorserill/protocol/admin/AdminFront.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 
 /**
@@ -33,6 +35,27 @@
          * @return the answer's lines
          */
         String answer(String about);
+
+        /**
+         * The same for what takes its time: the answer may come later, on the loop's thread, within a second of
+         * the call.
+         */
+        default void answer(String about, Consumer<String> to) {
+            to.accept(answer(about));
+        }
+    }
+
+    /** Something that is carried out elsewhere, whose answer comes later. */
+    public record Later(BiConsumer<String, Consumer<String>> what) implements Call {
+        @Override
+        public String answer(String about) {
+            throw new UnsupportedOperationException("its answer comes later");
+        }
+
+        @Override
+        public void answer(String about, Consumer<String> to) {
+            what.accept(about, to);
+        }
     }
 
     private final Loop loop;
@@ -87,7 +110,9 @@
             if (call == null) {
                 turnAway("no such call");
             } else {
-                answer(call.answer(words.length < 2 ? "" : words[1]));
+                // It was a whole call: from here on the deadline is the answer's.
+                loop.cancel(deadline);
+                call.answer(words.length < 2 ? "" : words[1], this::answer);
             }
         }
 
@@ -97,6 +122,9 @@
         }
 
         private void answer(String text) {
+            if (answered) {
+                return;
+            }
             answered = true;
             loop.cancel(deadline);
             channel.writeAndLinger(text.getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -159,6 +159,10 @@
         gate.replace(changed.contract());
     }
 
+    public Gate gate() {
+        return gate;
+    }
+
     /** A peer for a connection just accepted. */
     public Peer accept() {
         return new Session();
