--- a/src/main/java/gorserill/contract/read/Library.java
+++ b/src/main/java/gorserill/contract/read/Library.java
@@ -127,7 +127,8 @@
             return null;
         }
         byte[] bytes = Files.readAllBytes(real);
-        text.update((name.length() + name + bytes.length).getBytes(StandardCharsets.UTF_8));
+        String place = folder.relativize(real).toString();
+        text.update((place.length() + place + bytes.length).getBytes(StandardCharsets.UTF_8));
         text.update(bytes);
         Value value = DocumentReader.read(name, bytes, faults);
         Document document = value == null ? null : new Document(this, name, real, value);
--- a/src/test/java/barrowflow/RulesTest.java
+++ b/src/test/java/barrowflow/RulesTest.java
@@ -28,6 +28,22 @@
         assertTrue(host.sent.isEmpty());
     }
 
+    /** A job may be stricter than its class, never laxer. */
+    @ParameterizedTest
+    @EnumSource(Effect.class)
+    void aJobsOwnEffectBindsItIfItIsTheStricter(Effect own) {
+        for (var jobClass : List.of(FakeHost.SAFE, FakeHost.UNSAFE)) {
+            FakeHost host = new FakeHost(jobClass).withWorkers(3);
+            host.module.request(host.now, 1, 0, 0, 0, 5_000_000, 1, 0, own);
+            host.pass(60_000);
+            host.ended(1, 0, Outcome.RESET);
+            host.pass(1_000_000);
+            boolean safe = jobClass == FakeHost.SAFE && own != Effect.UNSAFE;
+            assertEquals(safe ? 2 : 1, host.sends(1), own + " in " + jobClass.effect());
+            assertEquals(safe ? List.of() : List.of(1L), host.failed);
+        }
+    }
+
     @Test
     void aZeroDeadlineIsRefusedAtOnce() {
         FakeHost host = new FakeHost(FakeHost.UNSAFE).withWorkers(1);
--- a/src/test/java/gorserill/routing/CoreTest.java
+++ b/src/test/java/gorserill/routing/CoreTest.java
@@ -69,10 +69,41 @@
     }
 
     private long take(Answers front, int jobClass, long timeLeft) {
-        Work work = new Work("r", jobClass, null, null, null, new byte[0]);
+        return take(front, jobClass, timeLeft, null);
+    }
+
+    private long take(Answers front, int jobClass, long timeLeft, Bond bond) {
+        Work work = new Work("r", jobClass, null, null, null, new byte[0], bond);
         return core.take(front, work, new Ask(loop.now(), timeLeft, false, 0, 0, 1, 0));
     }
 
+    /** What binds a job, and how often it was let go. */
+    private static final class Bound implements Bond {
+        final Effect effect;
+        final boolean accepts;
+        int over;
+
+        Bound(Effect effect, boolean accepts) {
+            this.effect = effect;
+            this.accepts = accepts;
+        }
+
+        @Override
+        public Effect effect() {
+            return effect;
+        }
+
+        @Override
+        public boolean accepts(byte[] result) {
+            return accepts;
+        }
+
+        @Override
+        public void over() {
+            over++;
+        }
+    }
+
     private void list(ListKind kind, WorkerState state, Map<Long, ? extends WorkerPort> ports) {
         core.listed(kind,
             ports.keySet().stream().map(id -> new Worker(id, 0, 0, 0, state, 0)).toList(), ports);
@@ -216,6 +247,65 @@
         assertEquals(front.await(), List.of("refused"));
     }
 
+    /** A contract by force past every check can make a class stricter, never weaker. */
+    @Test
+    public void theStricterOfClassAndBondHolds() throws Exception {
+        for (Effect told : Effect.values()) {
+            for (int jobClass : new int[] {SAFE, UNSAFE}) {
+                stop();
+                start();
+                Keeper first = new Keeper(false);
+                Keeper second = new Keeper(false);
+                on(() -> {
+                    list(ListKind.WHOLE, WorkerState.READY, Map.of(1L, first, 2L, second));
+                    return null;
+                });
+                Answers front = new Answers();
+                Bound bond = new Bound(told, true);
+                on(() -> take(front, jobClass, DEADLINE, bond));
+                boolean repeats = jobClass == SAFE && told == Effect.SAFE;
+                while (first.got.isEmpty() && second.got.isEmpty()) {
+                    first.first.await(1, TimeUnit.MILLISECONDS);
+                }
+                Keeper had = first.got.isEmpty() ? second : first;
+                Keeper other = had == first ? second : first;
+                on(() -> {
+                    had.got.get(0).ended(Outcome.RESET, null, Load.NONE);
+                    return null;
+                });
+                if (repeats) {
+                    assertTrue(other.first.await(5, TimeUnit.SECONDS), "it was not sent again");
+                    on(() -> {
+                        other.got.get(0).ended(Outcome.SERVED, new byte[0], Load.NONE);
+                        return null;
+                    });
+                    assertEquals(front.await(), List.of("served "));
+                } else {
+                    assertEquals(front.await(), List.of("failed"), told + " on class " + jobClass);
+                    assertEquals(other.got.size(), 0);
+                }
+                assertEquals(on(() -> bond.over).intValue(), 1);
+            }
+        }
+    }
+
+    @Test
+    public void aBadAnswerFailsTheJobAndIsNoReasonToRunItAgain() throws Exception {
+        Keeper worker = keeper(false);
+        Answers front = new Answers();
+        Bound bond = new Bound(Effect.SAFE, false);
+        on(() -> take(front, SAFE, DEADLINE, bond));
+        assertTrue(worker.first.await(5, TimeUnit.SECONDS));
+        on(() -> {
+            worker.got.get(0).ended(Outcome.SERVED, "bad".getBytes(), Load.NONE);
+            return null;
+        });
+        assertEquals(front.await(), List.of("failed"));
+        assertEquals(worker.got.size(), 1);
+        assertEquals(on(() -> bond.over).intValue(), 1);
+        assertEquals(on(() -> core.tally().failed(SAFE)).longValue(), 1);
+    }
+
     /** Danger: exactly one final answer, and no unsafe job twice, whatever the workers and clients do. */
     @Test
     public void everyRequestGetsOneAnswerWhateverHappens() throws Exception {
@@ -235,12 +325,15 @@
             });
             List<Answers> fronts = new ArrayList<>();
             List<Answers> left = new ArrayList<>();
+            List<Bound> bonds = new ArrayList<>();
             CountDownLatch idle = new CountDownLatch(1);
             for (int i = 0; i < 300; i++) {
                 int jobClass = random.nextInt(2);
                 on(() -> {
                     Answers front = new Answers();
-                    long handle = take(front, jobClass, 100_000 + random.nextInt(400_000));
+                    Bound bond = new Bound(Effect.values()[random.nextInt(3)], random.nextInt(5) > 0);
+                    bonds.add(bond);
+                    long handle = take(front, jobClass, 100_000 + random.nextInt(400_000), bond);
                     if (random.nextInt(20) == 0) {
                         boolean answered = !front.given.isEmpty();
                         core.withdraw(handle);
@@ -256,11 +349,15 @@
                 return null;
             });
             assertTrue(idle.await(5, TimeUnit.SECONDS), "requests were left open");
+            // Attempts that were taken back end in events of their own.
+            on(() -> null);
             on(() -> {
                 fronts.forEach(front -> assertEquals(front.given.size(), 1, front.given.toString()));
                 left.forEach(front -> assertEquals(front.given.size(), 0, front.given.toString()));
                 ran.forEach((work, times) ->
-                    assertTrue(work.jobClass() == SAFE || times == 1, times + " runs"));
+                    assertTrue(work.jobClass() == SAFE && work.bond().effect() == Effect.SAFE || times == 1,
+                        times + " runs"));
+                bonds.forEach(bond -> assertEquals(bond.over, 1));
                 assertTrue(!ran.isEmpty());
                 return null;
             });
