--- a/src/main/java/gorserill/contract/Call.java
+++ b/src/main/java/gorserill/contract/Call.java
@@ -13,5 +13,10 @@
     /** A header by its name in lower case; null for none. */
     String header(String name);
 
+    /** Whether that header came more than once; its value is then all of them, joined by commas. */
+    default boolean repeated(String name) {
+        return false;
+    }
+
     byte[] body();
 }
--- a/src/main/java/gorserill/contract/Door.java
+++ b/src/main/java/gorserill/contract/Door.java
@@ -123,7 +123,7 @@
             return null;
         }
         String key = switch (from.value().from()) {
-            case HEADER -> call.header(from.value().name());
+            case HEADER -> call.repeated(from.value().name()) ? null : call.header(from.value().name());
             case QUERY -> {
                 List<String> values = query.getOrDefault(from.value().name(), List.of());
                 yield values.size() == 1 ? Segments.decode(values.get(0), true) : null;
--- a/src/main/java/gorserill/contract/Parameter.java
+++ b/src/main/java/gorserill/contract/Parameter.java
@@ -89,6 +89,10 @@
             case QUERY -> query(query);
             case HEADER -> {
                 String value = call.header(name.toLowerCase(Locale.ROOT));
+                if (call.repeated(name.toLowerCase(Locale.ROOT)) && !shape().list()) {
+                    // Danger: of a header that comes twice, node and worker might each take another.
+                    throw new Mismatch("comes more than once");
+                }
                 // A header's text is not percent-encoded (OpenAPI 3.1.1, 4.8.12.6).
                 yield value == null ? null : json ? json(value) : simple(value, explode, false);
             }
--- a/src/main/java/gorserill/contract/Problem.java
+++ b/src/main/java/gorserill/contract/Problem.java
@@ -22,6 +22,11 @@
         return new Problem(status, title, detail, pointer, Set.of());
     }
 
+    /** A problem that no description knows of, such as a broken request. */
+    public static Problem of(int status, String title, String detail) {
+        return of(status, title, detail, null);
+    }
+
     /** It is described, but nothing is done by it here. */
     public static Problem unbound(String what) {
         return of(404, "Operation not served here", what + " is described, but bound to no class of jobs", null);
--- a/src/main/java/gorserill/contract/read/DocumentReader.java
+++ b/src/main/java/gorserill/contract/read/DocumentReader.java
@@ -60,7 +60,9 @@
             LoaderOptions options = new LoaderOptions();
             options.setCodePointLimit(MAX_FILE);
             options.setNestingDepthLimit(2 * MAX_DEPTH);
-            yaml = YAMLFactory.builder().loaderOptions(options).build().createParser(text);
+            yaml = YAMLFactory.builder().loaderOptions(options)
+                // In YAML 1.2 no, off and yes are texts: so are the enums and modes of descriptions.
+                .enable(YAMLParser.Feature.PARSE_BOOLEAN_LIKE_WORDS_AS_STRINGS).build().createParser(text);
             parser = yaml;
         } else {
             yaml = null;
--- a/src/main/java/gorserill/program/command/ContractCommand.java
+++ b/src/main/java/gorserill/program/command/ContractCommand.java
@@ -200,6 +200,10 @@
                 operation.terms().deadline().source()));
         learned.put("slots", operation.terms().slots());
         learned.put("answers", operation.terms().answers());
+        for (Operation.Message message : operation.messages()) {
+            learned.put("message", new Sourced<>(message.name() + (message.correlation() == null ? ""
+                : ", correlated by " + message.correlation()), "messages of " + operation.place()));
+        }
         learned.values().removeIf(java.util.Objects::isNull);
         return learned;
     }
--- a/src/main/java/gorserill/protocol/http/HttpCall.java
+++ b/src/main/java/gorserill/protocol/http/HttpCall.java
@@ -21,6 +21,11 @@
         return request.head().header(name);
     }
 
+    @Override
+    public boolean repeated(String name) {
+        return request.head().repeated().contains(name);
+    }
+
     @Override
     public byte[] body() {
         return request.body();
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -324,10 +324,13 @@
             forgetAll();
             ending = true;
             loop.cancel(deadline);
-            channel.writeAndLinger(HttpWriter.answer(status).header("Content-Type", "text/plain")
+            // Under a contract all that is turned away hears so in one form.
+            channel.writeAndLinger(HttpWriter.answer(status)
+                .header("Content-Type", gate.on() ? Problem.MEDIA_TYPE : "text/plain")
                 .header("Allow", status == 405 ? "POST" : null)
                 .header("Retry-After", status == 503 ? 1 : null).header("Connection", "close")
-                .bytes(why.getBytes(StandardCharsets.UTF_8)));
+                .bytes(gate.on() ? Problem.of(status, HttpWriter.reason(status), why).json()
+                    : why.getBytes(StandardCharsets.UTF_8)));
             deadline = loop.at(loop.now() + LINGER, channel::close);
         }
 
--- a/src/main/java/gorserill/protocol/http/HttpHead.java
+++ b/src/main/java/gorserill/protocol/http/HttpHead.java
@@ -1,6 +1,7 @@
 package gorserill.protocol.http;
 
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The first line of a message and its headers, their names in lower case.
@@ -8,8 +9,16 @@
  * @param first method or version
  * @param second target or status
  * @param third version or reason
+ * @param headers one that came more than once has its values joined by commas (RFC 9110, 5.3)
+ * @param repeated names of those that did
  */
-public record HttpHead(String first, String second, String third, Map<String, String> headers) {
+public record HttpHead(String first, String second, String third, Map<String, String> headers,
+                       Set<String> repeated) {
+    /** A head in which no header comes twice. */
+    HttpHead(String first, String second, String third, Map<String, String> headers) {
+        this(first, second, third, headers, Set.of());
+    }
+
     public String header(String name) {
         return headers.get(name);
     }
--- a/src/main/java/gorserill/protocol/http/HttpReader.java
+++ b/src/main/java/gorserill/protocol/http/HttpReader.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +30,7 @@
     private int to;
     private State state = State.HEAD;
     private HttpHead head;
+    private Set<String> repeated = Set.of();
     private String first;
     private String second;
     private String third;
@@ -209,7 +211,8 @@
             end = text.indexOf("\r\n", from);
             header(text, from, end, headers);
         }
-        head = new HttpHead(first, second, third, headers);
+        head = new HttpHead(first, second, third, headers, repeated);
+        repeated = Set.of();
         frame();
     }
 
@@ -247,6 +250,10 @@
             throw new HttpException(400, "two different lengths");
         } else if (before != null && !answers && SINGLE.contains(name)) {
             throw new HttpException(400, "header " + name + " comes twice");
+        } else if (before != null) {
+            headers.put(name, name.equals("content-length") ? value : before + ", " + value);
+            repeated = repeated.isEmpty() ? new HashSet<>() : repeated;
+            repeated.add(name);
         }
     }
 
--- a/src/main/java/gorserill/protocol/http/HttpWriter.java
+++ b/src/main/java/gorserill/protocol/http/HttpWriter.java
@@ -43,7 +43,7 @@
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    private static String reason(int status) {
+    static String reason(int status) {
         return switch (status) {
             case 200 -> "OK";
             case 400 -> "Bad Request";
--- a/src/test/java/gorserill/contract/ReadingTest.java
+++ b/src/test/java/gorserill/contract/ReadingTest.java
@@ -209,6 +209,16 @@
         assertEquals(422, Described.status(pets.post("/j", "{\"kind\":\"Eel\"}")));
     }
 
+    @Test
+    void yamlIsReadAsOfItsVersionOnePointTwo() {
+        Described described = schema("{enum: [no, off, 'yes', 007, 0x10, 1e2, ~]}");
+        assertEquals(List.of(), described.told());
+        for (String body : List.of("\"no\"", "\"off\"", "\"yes\"", "100", "null")) {
+            assertEquals(0, Described.status(described.post("/j", body)), body);
+        }
+        assertEquals(422, Described.status(described.post("/j", "false")));
+    }
+
     @Test
     void warningsDoNotKeepADescriptionOut() {
         Described described = Described.paths("/j:\n  put: {x-gorserill-class: alerta, x-gorserill-effect: once}");
--- a/src/test/java/gorserill/measure/ContractCost.java
+++ b/src/test/java/gorserill/measure/ContractCost.java
@@ -109,6 +109,16 @@
         return served;
     }
 
+    private static void drain(BufferedReader log) {
+        try {
+            while (log.readLine() != null) {
+                // The node must not wait for somebody to read its log.
+            }
+        } catch (java.io.IOException e) {
+            // The end.
+        }
+    }
+
     /** Microseconds of the node's CPU for each request. */
     private static double round(boolean bound, int requests, int kib) throws Exception {
         Path folder = Files.createTempDirectory("cost");
@@ -135,22 +145,26 @@
                 builder.environment().put("GORSERILL_OPENAPI", openApi.toString());
             }
             Process node = builder.start();
-            try (BufferedReader log = node.inputReader()) {
+            BufferedReader log = node.inputReader();
+            try {
                 for (String line = log.readLine(); !line.contains("is ready"); line = log.readLine()) {
                     if (line.contains("SEVERE")) {
                         throw new IllegalStateException(line);
                     }
                 }
-                Thread rest = new Thread(() -> log.lines().forEach(line -> { }));
+                Thread rest = new Thread(() -> drain(log));
                 rest.setDaemon(true);
                 rest.start();
                 load(port, requests / 2, kib);
+                long begun = System.nanoTime();
                 Duration before = node.info().totalCpuDuration().orElseThrow();
                 int served = 0;
                 for (int one : load(port, requests, kib)) {
                     served += one;
                 }
                 Duration after = node.info().totalCpuDuration().orElseThrow();
+                System.err.printf("%s, %d KiB: served %d of %d in %.1f s%n", bound ? "bound" : "free", kib, served, requests,
+                    (System.nanoTime() - begun) / 1e9);
                 if (served < requests * 9 / 10) {
                     System.err.println("only " + served + " of " + requests + " were served");
                 }
