--- a/src/main/java/barrowflow/Dispatcher.java
+++ b/src/main/java/barrowflow/Dispatcher.java
@@ -20,7 +20,9 @@
  */
 public interface Dispatcher {
 
-    /** May a job run twice? SAFE: freely. KEYED: where its repeats are dropped. UNSAFE: never. Strictest last. */
+    /**
+     * May a job run twice? SAFE: freely. KEYED: where its repeats are dropped. UNSAFE: never. Strictest last.
+     */
     enum Effect { SAFE, KEYED, UNSAFE }
 
     /** Which workers drop a repeat of a KEYED job: all, those of one zone, those of one cell. */
--- a/src/main/java/gorserill/contract/AsyncApi.java
+++ b/src/main/java/gorserill/contract/AsyncApi.java
@@ -74,7 +74,8 @@
             Spot message = publish.get("message");
             List<Spot> messages = message == null ? List.of()
                 : message.raw("oneOf") == null ? List.of(message) : message.itemsOf("oneOf");
-            // In 2.6 a trait is a merge patch (RFC 7396) on the operation, so that it goes first; the last, firstmost.
+            // In 2.6 a trait is a merge patch (RFC 7396) on the operation, so that it goes first; the last,
+            // firstmost.
             List<Spot> spots = new ArrayList<>(publish.itemsOf("traits"));
             Collections.reverse(spots);
             spots.add(publish);
@@ -244,12 +245,14 @@
         Spot spot = raw;
         String format = told;
         Spot followed = raw.followed();
-        if (!old && followed != null && followed.raw("schemaFormat") != null && followed.raw("schema") != null) {
+        if (!old && followed != null && followed.raw("schemaFormat") != null
+            && followed.raw("schema") != null) {
             format = followed.text("schemaFormat");
             spot = followed.raw("schema");
         }
         if (format != null && SCHEMA_FORMATS.stream().noneMatch(format::startsWith)) {
-            spot.warning("schemas of the format " + format + " are not read, so nothing is checked by this one",
+            spot.warning("schemas of the format " + format
+                + " are not read, so nothing is checked by this one",
                 "write it as a JSON Schema");
             return null;
         }
--- a/src/main/java/gorserill/contract/Comparison.java
+++ b/src/main/java/gorserill/contract/Comparison.java
@@ -13,8 +13,8 @@
 import java.util.Set;
 
 /**
- * What changes for clients from one contract to another. Breaking is what turns away a request that was let in,
- * gives an answer that was not described, or repeats what was not repeated.
+ * What changes for clients from one contract to another. Breaking is what turns away a request that was let
+ * in, gives an answer that was not described, or repeats what was not repeated.
  */
 public final class Comparison {
     /** What a change is about. */
@@ -29,7 +29,8 @@
     public record Change(boolean breaking, Side side, String operation, String where, String what) {
         @Override
         public String toString() {
-            return (breaking ? "breaking   " : "compatible ") + operation + (where.isEmpty() ? "" : ", " + where)
+            return (breaking ? "breaking   " : "compatible ") + operation + (where.isEmpty() ? "" : ", "
+                + where)
                 + ": " + what;
         }
     }
@@ -149,7 +150,8 @@
         Map<String, Parameter> byWhere = new LinkedHashMap<>();
         List<String> path = new ArrayList<>(Templates.inOrder(operation.address()));
         for (Parameter parameter : operation.parameters()) {
-            byWhere.put(parameter.in() == Parameter.In.PATH ? "path parameter " + (1 + path.indexOf(parameter.name()))
+            byWhere.put(parameter.in() == Parameter.In.PATH ? "path parameter "
+                + (1 + path.indexOf(parameter.name()))
                 : parameter.in() == Parameter.In.HEADER ? parameter.where().toLowerCase(java.util.Locale.ROOT)
                 : parameter.where(), parameter);
         }
@@ -158,8 +160,10 @@
 
     private void schema(Side side, String where, Check before, Check after) {
         for (SchemaComparison.Change change : SchemaComparison.compare(before, after)) {
-            boolean harmless = change.direction() == (side == Side.ANSWER ? Direction.NARROWER : Direction.WIDER);
-            add(!harmless, side, where + (change.pointer().isEmpty() ? "" : " " + change.pointer()), change.what());
+            boolean harmless = change.direction() == (side == Side.ANSWER ? Direction.NARROWER
+                : Direction.WIDER);
+            add(!harmless, side, where + (change.pointer().isEmpty() ? "" : " " + change.pointer()),
+                change.what());
         }
     }
 
--- a/src/main/java/gorserill/contract/Content.java
+++ b/src/main/java/gorserill/contract/Content.java
@@ -46,8 +46,8 @@
     }
 
     /**
-     * A body's value as its media type has it: JSON as such, a form as an object of texts, text and bytes as a
-     * text; null where nothing here can read it, such as multipart.
+     * A body's value as its media type has it: JSON as such, a form as an object of texts, text and bytes as
+     * a text; null where nothing here can read it, such as multipart.
      *
      * @throws Unreadable where it is not what it says it is
      */
@@ -62,7 +62,8 @@
             return form;
         }
         // Danger: bytes that are no UTF-8 become as many characters at least; a length limit still holds.
-        return type.plain() ? JsonNodeFactory.instance.textNode(new String(body, StandardCharsets.UTF_8)) : null;
+        return type.plain() ? JsonNodeFactory.instance.textNode(new String(body, StandardCharsets.UTF_8))
+            : null;
     }
 
     /** How a body fails the schema of a range, or null. */
--- a/src/main/java/gorserill/contract/Contract.java
+++ b/src/main/java/gorserill/contract/Contract.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** A description that was read and found sound. It never changes; a changed description is another contract. */
+/**
+ * A description that was read and found sound. It never changes; a changed description is another contract.
+ */
 public final class Contract {
     /** Which kind of description it was. */
     public enum Kind { OPENAPI, ASYNCAPI }
--- a/src/main/java/gorserill/contract/ContractReader.java
+++ b/src/main/java/gorserill/contract/ContractReader.java
@@ -31,7 +31,8 @@
         } else if (root.raw("swagger") != null) {
             root.error("Swagger 2.0 is not spoken", "convert it to OpenAPI 3.0 or 3.1");
         } else {
-            root.error("neither 'openapi' nor 'asyncapi' is said", "begin with openapi: 3.1.0 or asyncapi: 3.0.0");
+            root.error("neither 'openapi' nor 'asyncapi' is said",
+                "begin with openapi: 3.1.0 or asyncapi: 3.0.0");
         }
         return faults.sound() ? contract : null;
     }
--- a/src/main/java/gorserill/contract/Door.java
+++ b/src/main/java/gorserill/contract/Door.java
@@ -54,7 +54,8 @@
                 try {
                     parameter.check(call, match.values(), query);
                 } catch (Mismatch e) {
-                    throw new TurnedAway(Problem.of(422, BAD_REQUEST, parameter.where() + " " + e.getMessage(),
+                    throw new TurnedAway(Problem.of(422, BAD_REQUEST, parameter.where() + " "
+                        + e.getMessage(),
                         parameter.where()));
                 }
             }
@@ -140,7 +141,8 @@
             return null;
         }
         if (key == null || !KEY.matcher(key).matches()) {
-            throw new TurnedAway(Problem.of(422, "Key missing or not usable", "the key at " + from + (key == null
+            throw new TurnedAway(Problem.of(422, "Key missing or not usable", "the key at " + from
+                + (key == null
                 ? " is missing" : " must be 1 to 128 printable characters of ASCII, without spaces"),
                 from.inValue() ? "#" + from.pointer() : from.toString()));
         }
@@ -169,7 +171,8 @@
                 try {
                     parameter.check(null, match.values(), Map.of());
                 } catch (Mismatch e) {
-                    throw new TurnedAway(Problem.of(422, BAD_REQUEST, parameter.where() + " " + e.getMessage(),
+                    throw new TurnedAway(Problem.of(422, BAD_REQUEST, parameter.where() + " "
+                        + e.getMessage(),
                         parameter.where()));
                 }
             }
@@ -207,7 +210,8 @@
             Violation violation = check.violation(headers == null
                 ? com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.objectNode() : headers);
             if (violation != null) {
-                return Problem.of(422, BAD_REQUEST, "message " + message.name() + ", headers " + at(violation),
+                return Problem.of(422, BAD_REQUEST, "message " + message.name() + ", headers "
+                    + at(violation),
                     "header#" + violation.pointer());
             }
         }
@@ -219,8 +223,9 @@
     // ---- answers ----
 
     /**
-     * How a worker's answer fails what its operation describes for a request that was served; null where it does
-     * not, or where nothing is described. An answer has no media type of its own: any described one may fit.
+     * How a worker's answer fails what its operation describes for a request that was served; null where it
+     * does not, or where nothing is described. An answer has no media type of its own: any described one may
+     * fit.
      */
     public static String fault(Operation operation, byte[] answer) {
         Content content = operation.servedContent();
--- a/src/main/java/gorserill/contract/Export.java
+++ b/src/main/java/gorserill/contract/Export.java
@@ -9,8 +9,8 @@
 import java.util.Collection;
 
 /**
- * The descriptions of a node's own fronts, made from the classes of its settings. A node that is bound by them
- * takes what it takes without any.
+ * The descriptions of a node's own fronts, made from the classes of its settings. A node that is bound by
+ * them takes what it takes without any.
  */
 public final class Export {
     private static final int MAX_BODY = 65_536;
@@ -22,7 +22,8 @@
     private static ObjectNode document(String word, String version, String title, String description) {
         ObjectNode document = JsonNodeFactory.instance.objectNode();
         document.put(word, version);
-        document.putObject("info").put("title", title).put("version", "1.0.0").put("description", description);
+        document.putObject("info").put("title", title).put("version", "1.0.0").put("description",
+            description);
         return document;
     }
 
@@ -31,7 +32,8 @@
     /** The platform's front, as OpenAPI 3.1. */
     public static ObjectNode openApi(Collection<JobRule> classes) {
         ObjectNode document = document("openapi", "3.1.0", "gorserill, the platform's front",
-            "A client submits a job by POST and waits for its one final answer. Made by gorserill contract export.");
+            "A client submits a job by POST and waits for its one final answer. Made by gorserill contract "
+                + "export.");
         ObjectNode paths = document.putObject("paths");
         for (JobRule rule : classes) {
             paths.putObject("/" + URLEncoder.encode(rule.name(), StandardCharsets.UTF_8).replace("+", "%20"))
@@ -109,10 +111,12 @@
         responses.set("Served", described("What a worker gave for this request."));
         responses.withObjectProperty("Served").putObject("content").putObject("*/*");
         responses.set("Refused", described("Not run; trying again is harmless."));
-        responses.withObjectProperty("Refused").putObject("headers").putObject("Retry-After").put("required", true)
+        responses.withObjectProperty("Refused").putObject("headers").putObject("Retry-After").put("required",
+            true)
             .put("description", "Seconds, whole or decimal.").putObject("schema").put("type", "number");
         responses.set("Failed", described("Not done as far as is known, but it may have run."));
-        responses.set("TurnedAway", described("The request can't be read or used, or is not as described (408: it was"
+        responses.set("TurnedAway",
+            described("The request can't be read or used, or is not as described (408: it was"
             + " not whole in time; 409: its id is that of an open request); the body says why."));
     }
 
@@ -121,10 +125,13 @@
     /** The Faktory front, as AsyncAPI 3.0. */
     public static ObjectNode asyncApi(Collection<JobRule> classes) {
         ObjectNode document = document("asyncapi", "3.0.0", "gorserill, the Faktory front",
-            "The Faktory work protocol, version 2. A channel is a queue, a payload a whole job, a message's headers are"
-                + " the job's custom. A PUSH is answered when the job's fate is known. Made by gorserill contract"
+            "The Faktory work protocol, version 2. A channel is a queue, a payload a whole job, a message's "
+                + "headers are"
+                + " the job's custom. A PUSH is answered when the job's fate is known. Made by gorserill "
+                    + "contract"
                 + " export.");
-        document.putObject("servers").putObject("node").put("host", "127.0.0.1:7419").put("protocol", "faktory")
+        document.putObject("servers").putObject("node").put("host", "127.0.0.1:7419").put("protocol",
+            "faktory")
             .put("protocolVersion", "2").put("description", "The address is that of faktory.json.")
             .putArray("security").addObject().put("$ref", "#/components/securitySchemes/password");
         ObjectNode channels = document.putObject("channels");
@@ -176,7 +183,8 @@
         properties.putObject("args").put("type", "array");
         properties.putObject("reserve_for").put("type", "integer");
         ObjectNode custom = properties.putObject("custom").put("type", "object").putObject("properties");
-        custom.putObject("remaining_ms").put("type", "integer").put("minimum", 1).put("maximum", MAX_REMAINING)
+        custom.putObject("remaining_ms").put("type", "integer").put("minimum", 1).put("maximum",
+            MAX_REMAINING)
             .put("description", "How long the client waits; the class's limit where not given.");
         custom.putObject("idempotency_key").put("type", "string").put("minLength", 1).put("maxLength", 128);
         custom.putObject("slots").put("type", "number").put("minimum", 0);
--- a/src/main/java/gorserill/contract/Expression.java
+++ b/src/main/java/gorserill/contract/Expression.java
@@ -5,9 +5,9 @@
 import java.util.Locale;
 
 /**
- * Where in a request a text stands: a runtime expression of OpenAPI ({@code $request.header.NAME},
- * {@code $request.query.NAME}, {@code $request.body#/POINTER}; 3.1.1, 4.8.20.3) or of AsyncAPI
- * ({@code $message.header#/POINTER}, {@code $message.payload#/POINTER}; 3.0.0, Runtime Expression).
+ * Where in a request a text stands: a runtime expression of OpenAPI ({@code $request.header.NAME}, {@code
+ * $request.query.NAME}, {@code $request.body#/POINTER}; 3.1.1, 4.8.20.3) or of AsyncAPI ({@code
+ * $message.header#/POINTER}, {@code $message.payload#/POINTER}; 3.0.0, Runtime Expression).
  */
 public record Expression(From from, String name, JsonPointer pointer) {
     /** The part of a request. */
@@ -29,7 +29,8 @@
                 String rest = text.substring(STARTS[i].length());
                 From from = From.values()[i];
                 if (from == From.HEADER || from == From.QUERY) {
-                    return new Expression(from, from == From.HEADER ? rest.toLowerCase(Locale.ROOT) : rest, null);
+                    return new Expression(from, from == From.HEADER ? rest.toLowerCase(Locale.ROOT) : rest,
+                        null);
                 }
                 return rest.startsWith("/") ? new Expression(from, null, JsonPointer.compile(rest)) : null;
             }
--- a/src/main/java/gorserill/contract/Learner.java
+++ b/src/main/java/gorserill/contract/Learner.java
@@ -10,9 +10,9 @@
 import java.util.Set;
 
 /**
- * Learns an operation's terms: from extensions first, then from the signs that specifications give, and from its
- * class. Whatever the description says, the class is a floor: the stricter of the two holds, and saying the
- * weaker is a fault.
+ * Learns an operation's terms: from extensions first, then from the signs that specifications give, and from
+ * its class. Whatever the description says, the class is a floor: the stricter of the two holds, and saying
+ * the weaker is a fault.
  */
 final class Learner {
     private static final String CLASS = "x-gorserill-class";
@@ -97,11 +97,13 @@
         }
         if (Effects.weaker(said.value(), rule.effect())) {
             Spot at = first(spots, EFFECT);
-            (at == null ? spots.get(0) : at).error((at == null ? "by its method (" + said.source() + ") this is '"
+            (at == null ? spots.get(0) : at).error((at == null ? "by its method (" + said.source()
+                + ") this is '"
                 : "this says '") + Effects.word(said.value()) + "', but class " + rule.name() + " is '"
                 + Effects.word(rule.effect()) + "': its jobs would be repeated where they must not be",
                 at == null ? "describe it as POST, or bind it to another class"
-                    : "write " + EFFECT + ": " + Effects.word(rule.effect()) + ", or bind it to another class");
+                    : "write " + EFFECT + ": " + Effects.word(rule.effect())
+                        + ", or bind it to another class");
             return floor;
         }
         return said;
@@ -174,7 +176,8 @@
             at.warning("class " + rule.name() + " ends its jobs after " + rule.deadline() / 1_000 + " ms",
                 "that holds; leave this out or write less");
         }
-        return rule == null ? null : new Sourced<>(rule.deadline(), "class " + rule.name() + " of the settings");
+        return rule == null ? null : new Sourced<>(rule.deadline(), "class " + rule.name()
+            + " of the settings");
     }
 
     private static Sourced<Double> slots(List<Spot> spots) {
--- a/src/main/java/gorserill/contract/MediaType.java
+++ b/src/main/java/gorserill/contract/MediaType.java
@@ -36,7 +36,8 @@
 
     /** Whether a body of it is a text by itself, or bytes, rather than something with parts. */
     boolean plain() {
-        return type.equals("text") || type.equals("*") || subtype.equals("*") || subtype.equals("octet-stream");
+        return type.equals("text") || type.equals("*") || subtype.equals("*")
+            || subtype.equals("octet-stream");
     }
 
     @Override
--- a/src/main/java/gorserill/contract/OpenApi.java
+++ b/src/main/java/gorserill/contract/OpenApi.java
@@ -156,7 +156,8 @@
 
     // ---- one operation ----
 
-    private Operation operation(String template, String method, Spot spot, Spot item, Map<String, Spot> shared) {
+    private Operation operation(String template, String method, Spot spot, Spot item, 
+                                Map<String, Spot> shared) {
         Learner.spelling(spot);
         String id = spot.text("operationId");
         if (id != null && ids.putIfAbsent(id, spot) != null) {
@@ -209,7 +210,8 @@
                 String in = parameter.needed("in", "say path, query, header or cookie");
                 if (name != null && in != null && found.put(in + " "
                     + (in.equals("header") ? name.toLowerCase(Locale.ROOT) : name), parameter) != null) {
-                    parameter.error(in + " parameter '" + name + "' is described twice", "keep one of the two");
+                    parameter.error(in + " parameter '" + name + "' is described twice",
+                        "keep one of the two");
                 }
             }
         }
@@ -259,7 +261,8 @@
         } else if (schema != null) {
             check = schemas.check(spot.raw("schema"), dialect, false);
         }
-        return new Parameter(name, in, required, style, explode, spot.flag("allowEmptyValue", false), json, check);
+        return new Parameter(name, in, required, style, explode, spot.flag("allowEmptyValue", false), json,
+            check);
     }
 
     private static Style style(Spot spot, In in) {
--- a/src/main/java/gorserill/contract/Parameter.java
+++ b/src/main/java/gorserill/contract/Parameter.java
@@ -79,7 +79,8 @@
     }
 
     /** The values that its text can mean, likeliest first; null where it is not there. */
-    private List<JsonNode> readings(Call call, Map<String, String> pathValues, Map<String, List<String>> query)
+    private List<JsonNode> readings(Call call, Map<String, String> pathValues, 
+                                    Map<String, List<String>> query)
         throws Mismatch {
         return switch (in) {
             case PATH -> {
@@ -201,7 +202,8 @@
             if (key.startsWith(name + "[") && key.endsWith("]")) {
                 String member = key.substring(name.length() + 1, key.length() - 1);
                 Shape its = shape.member(member);
-                object.set(member, its.list() ? list(pair.getValue(), true) : first(once(pair.getValue()), its));
+                object.set(member, its.list() ? list(pair.getValue(), true) : first(once(pair.getValue()),
+                    its));
             }
         }
         return object.isEmpty() ? null : List.of(object);
--- a/src/main/java/gorserill/contract/Problem.java
+++ b/src/main/java/gorserill/contract/Problem.java
@@ -29,7 +29,8 @@
 
     /** It is described, but nothing is done by it here. */
     public static Problem unbound(String what) {
-        return of(404, "Operation not served here", what + " is described, but bound to no class of jobs", null);
+        return of(404, "Operation not served here", what + " is described, but bound to no class of jobs",
+            null);
     }
 
     /** The problem details object (RFC 9457, section 3.1). */
--- a/src/main/java/gorserill/contract/Segments.java
+++ b/src/main/java/gorserill/contract/Segments.java
@@ -10,8 +10,8 @@
     private Segments() { }
 
     /**
-     * The one form of what may be written in several: percent-encoded unreserved characters decoded, hexadecimal
-     * digits in upper case, everything else as it is. Null where a percent sign begins nothing.
+     * The one form of what may be written in several: percent-encoded unreserved characters decoded,
+     * hexadecimal digits in upper case, everything else as it is. Null where a percent sign begins nothing.
      */
     static String normal(String raw) {
         if (raw.indexOf('%') < 0) {
--- a/src/main/java/gorserill/contract/Templates.java
+++ b/src/main/java/gorserill/contract/Templates.java
@@ -12,9 +12,9 @@
 import java.util.TreeSet;
 
 /**
- * Path templates and what stands behind each, as a tree of segments: concrete segments go before templated ones
- * (OpenAPI 3.1.1, 4.8.8.2), those with more concrete text before those with less. A search visits at most the
- * branches that fit, so that its time does not grow with the number of templates.
+ * Path templates and what stands behind each, as a tree of segments: concrete segments go before templated
+ * ones (OpenAPI 3.1.1, 4.8.8.2), those with more concrete text before those with less. A search visits at
+ * most the branches that fit, so that its time does not grow with the number of templates.
  *
  * @param <T> what a template leads to
  */
@@ -186,8 +186,8 @@
     }
 
     /**
-     * What a path fits, or null. Danger: a path with dot segments or empty ones is read in several ways by what
-     * stands before and behind the node; it fits nothing that does not spell it out.
+     * What a path fits, or null. Danger: a path with dot segments or empty ones is read in several ways by
+     * what stands before and behind the node; it fits nothing that does not spell it out.
      */
     Match<T> find(String rawPath) {
         String[] parts = rawPath.split("/", -1);
--- a/src/main/java/gorserill/contract/Versions.java
+++ b/src/main/java/gorserill/contract/Versions.java
@@ -11,10 +11,10 @@
 import java.util.function.Function;
 
 /**
- * The contracts of one front, one after another: the present one decides on what comes, older ones are kept while
- * requests that were taken under them are open. A repeat belongs to the version of its first try, as far as that
- * can be told: if the present version reads its key from elsewhere, workers would not know the repeat by it. For
- * one thread; it knows no clock.
+ * The contracts of one front, one after another: the present one decides on what comes, older ones are kept
+ * while requests that were taken under them are open. A repeat belongs to the version of its first try, as
+ * far as that can be told: if the present version reads its key from elsewhere, workers would not know the
+ * repeat by it. For one thread; it knows no clock.
  */
 public final class Versions {
     /** Danger: keys come from clients, and each is kept for a while; so many of a version at the most. */
@@ -110,8 +110,8 @@
     }
 
     /**
-     * Puts another contract in force, or none; gives whether anything changed. The same text read again changes
-     * nothing.
+     * Puts another contract in force, or none; gives whether anything changed. The same text read again
+     * changes nothing.
      */
     public boolean replace(Contract contract, long now) {
         if (current != null && contract != null
--- a/src/main/java/gorserill/contract/read/DocumentReader.java
+++ b/src/main/java/gorserill/contract/read/DocumentReader.java
@@ -20,15 +20,18 @@
 import org.yaml.snakeyaml.LoaderOptions;
 
 /**
- * Makes values of one document's bytes: JSON (RFC 8259) or YAML 1.2 as far as OpenAPI and AsyncAPI allow it: one
- * document, names that are texts, no tags. Anchors and aliases are followed; what they grow to is bounded.
+ * Makes values of one document's bytes: JSON (RFC 8259) or YAML 1.2 as far as OpenAPI and AsyncAPI allow it:
+ * one document, names that are texts, no tags. Anchors and aliases are followed; what they grow to is
+ * bounded.
  */
 final class DocumentReader {
     /** Bytes of a file. */
     static final int MAX_FILE = 32 << 20;
     /** Objects and lists within each other. */
     static final int MAX_DEPTH = 256;
-    /** Danger: aliases of aliases name a billion values in a few lines; so many are more than 32 MB spell out. */
+    /**
+     * Danger: aliases of aliases name a billion values in a few lines; so many are more than 32 MB spell out.
+     */
     static final int MAX_VALUES = 8_000_000;
 
     private final String file;
@@ -94,7 +97,8 @@
             faults.error(e.place, e.getMessage(), e.remedy);
         } catch (JsonProcessingException e) {
             JsonLocation at = e.getLocation();
-            faults.error(at == null ? Place.file(file) : new Place(file, at.getLineNr(), at.getColumnNr(), ""),
+            faults.error(at == null ? Place.file(file) : new Place(file, at.getLineNr(), at.getColumnNr(),
+                ""),
                 "not readable as " + (isYaml ? "YAML" : "JSON") + ": "
                     + e.getOriginalMessage().lines().findFirst().orElse(""), "correct its syntax there");
         } catch (IOException | RuntimeException e) {
@@ -166,7 +170,8 @@
     private Value alias(String name) throws Broken {
         Value known = anchors.get(name);
         if (known == null) {
-            throw new Broken(here(), "alias *" + name + " names no anchor before it, or one that it is part of",
+            throw new Broken(here(), "alias *" + name
+                + " names no anchor before it, or one that it is part of",
                 "define &" + name + " before its first use, and use $ref for what contains itself");
         }
         count(sizes.get(name));
@@ -178,7 +183,8 @@
         int before = values;
         values += more;
         if (values > MAX_VALUES) {
-            throw new Broken(here(), "the document names more than " + MAX_VALUES + " values, aliases followed",
+            throw new Broken(here(), "the document names more than " + MAX_VALUES
+                + " values, aliases followed",
                 "use $ref in place of aliases of aliases");
         }
         return before;
--- a/src/main/java/gorserill/contract/read/Library.java
+++ b/src/main/java/gorserill/contract/read/Library.java
@@ -13,9 +13,9 @@
 import java.util.Map;
 
 /**
- * A description's file and those beside it that it refers to. Danger: whoever writes a description must not be
- * able to read other files of the machine by it, so nothing above its folder is opened, links included, and
- * nothing is ever fetched over a network.
+ * A description's file and those beside it that it refers to. Danger: whoever writes a description must not
+ * be able to read other files of the machine by it, so nothing above its folder is opened, links included,
+ * and nothing is ever fetched over a network.
  */
 public final class Library {
     private static final int MAX_FILES = 256;
@@ -101,7 +101,8 @@
     }
 
     private static String reason(IOException e) {
-        return e instanceof NoSuchFileException ? "there is no such file" : "can't be read: " + e.getMessage();
+        return e instanceof NoSuchFileException ? "there is no such file" : "can't be read: "
+            + e.getMessage();
     }
 
     String fingerprint() {
--- a/src/main/java/gorserill/contract/schema/BoundedNodes.java
+++ b/src/main/java/gorserill/contract/schema/BoundedNodes.java
@@ -12,7 +12,9 @@
  */
 final class BoundedNodes extends JsonNodeFactory {
     private static final long serialVersionUID = 1L;
-    /** Looks for each byte of a value, and for any value: many times what a schema written with care takes. */
+    /**
+     * Looks for each byte of a value, and for any value: many times what a schema written with care takes.
+     */
     private static final long LOOKS_A_BYTE = 200;
     private static final long LOOKS = 50_000;
 
--- a/src/main/java/gorserill/contract/schema/Check.java
+++ b/src/main/java/gorserill/contract/schema/Check.java
@@ -54,7 +54,9 @@
         return source;
     }
 
-    /** The schema itself in the one dialect, for comparison; references stay references into {@link #defs}. */
+    /**
+     * The schema itself in the one dialect, for comparison; references stay references into {@link #defs}.
+     */
     public JsonNode node() {
         return bundle.definition(key);
     }
@@ -73,7 +75,8 @@
             List<Error> errors = schema.validate(value, context ->
                 context.executionConfig(config -> config.failFast(true)));
             return errors.isEmpty() ? null
-                : new Violation(errors.get(0).getInstanceLocation().toString(), cut(errors.get(0).getMessage()));
+                : new Violation(errors.get(0).getInstanceLocation().toString(), cut(errors.get(0)
+                    .getMessage()));
         } catch (BoundedNodes.Exhausted e) {
             return new Violation("", "is too intricate to be checked in the time allowed");
         } catch (StackOverflowError e) {
--- a/src/main/java/gorserill/contract/schema/Discriminator.java
+++ b/src/main/java/gorserill/contract/schema/Discriminator.java
@@ -9,9 +9,9 @@
 import java.util.Map;
 
 /**
- * OpenAPI's discriminator (OpenAPI 3.1.1, 4.8.25) in words of JSON Schema: the property must be there, name one
- * of the alternatives, and the value must fit that one. Which schema a faulty value was meant for is then known,
- * so that its sender is told what is wrong with it and not that it fits none of them.
+ * OpenAPI's discriminator (OpenAPI 3.1.1, 4.8.25) in words of JSON Schema: the property must be there, name
+ * one of the alternatives, and the value must fit that one. Which schema a faulty value was meant for is then
+ * known, so that its sender is told what is wrong with it and not that it fits none of them.
  */
 final class Discriminator {
     private Discriminator() { }
@@ -40,7 +40,8 @@
         if (discriminator == null || !discriminator.must(Kind.OBJECT)) {
             return;
         }
-        String property = discriminator.needed("propertyName", "name the property that tells the schemas apart");
+        String property = discriminator.needed("propertyName",
+            "name the property that tells the schemas apart");
         if (property == null) {
             return;
         }
@@ -92,10 +93,12 @@
         String name = at.value().text();
         Integer place = byValue.get(name);
         if (place == null) {
-            place = byValue.get(name.substring(name.lastIndexOf('/') + 1).replaceFirst("\\.(ya?ml|json)$", ""));
+            place = byValue.get(name.substring(name.lastIndexOf('/') + 1).replaceFirst("\\.(ya?ml|json)$",
+                ""));
         }
         if (place == null) {
-            at.error("'" + name + "' is none of the alternatives", "name one that stands beside the discriminator");
+            at.error("'" + name + "' is none of the alternatives",
+                "name one that stands beside the discriminator");
         }
         return place;
     }
--- a/src/main/java/gorserill/contract/schema/SchemaBundle.java
+++ b/src/main/java/gorserill/contract/schema/SchemaBundle.java
@@ -26,9 +26,9 @@
 import java.util.Set;
 
 /**
- * All schemas of one contract, each place once, in one JSON Schema document of draft 2020-12. Every
- * {@code $ref} is resolved while the description is read and becomes one into this document, so that the
- * validator itself never opens a file or a connection.
+ * All schemas of one contract, each place once, in one JSON Schema document of draft 2020-12. Every {@code
+ * $ref} is resolved while the description is read and becomes one into this document, so that the validator
+ * itself never opens a file or a connection.
  */
 public final class SchemaBundle {
     private static final String ROOT = "urn:gorserill:contract";
@@ -67,8 +67,8 @@
     /**
      * Takes a schema in.
      *
-     * @param answer whether it is for what workers send: then {@code writeOnly} members need not be there, else
-     *     {@code readOnly} ones (OpenAPI 3.0.4, 4.7.24.2)
+     * @param answer whether it is for what workers send: then {@code writeOnly} members need not be there,
+     *     else {@code readOnly} ones (OpenAPI 3.0.4, 4.7.24.2)
      */
     public Check check(Spot schema, Dialect dialect, boolean answer) {
         String key = key(schema, dialect, answer);
@@ -109,8 +109,10 @@
                 }
                 String next = open.peek().next();
                 if (on.contains(next)) {
-                    spots.get(next).error("this schema leads back to itself without going down into the value,"
-                        + " so checking would never end", "break the cycle of $ref, allOf, anyOf, oneOf or not");
+                    spots.get(next)
+                        .error("this schema leads back to itself without going down into the value,"
+                        + " so checking would never end",
+                            "break the cycle of $ref, allOf, anyOf, oneOf or not");
                 } else if (!done.contains(next)) {
                     path.push(next);
                     on.add(next);
@@ -229,7 +231,8 @@
         return out;
     }
 
-    private void map(String name, Spot spot, Dialect dialect, boolean answer, boolean inPlace, ObjectNode out) {
+    private void map(String name, Spot spot, Dialect dialect, boolean answer, boolean inPlace,
+        ObjectNode out) {
         if (!spot.must(Kind.OBJECT)) {
             return;
         }
--- a/src/main/java/gorserill/contract/schema/SchemaComparison.java
+++ b/src/main/java/gorserill/contract/schema/SchemaComparison.java
@@ -12,8 +12,8 @@
 import java.util.TreeSet;
 
 /**
- * What one schema takes and another does not, word by word. It does not solve schemas: a change of which it can't
- * tell in which direction it goes counts as both.
+ * What one schema takes and another does not, word by word. It does not solve schemas: a change of which it
+ * can't tell in which direction it goes counts as both.
  */
 public final class SchemaComparison {
     /** The direction of a change: the new schema takes less, or more, or it can't be told. */
@@ -52,7 +52,8 @@
     public static List<Change> compare(Check before, Check after) {
         SchemaComparison comparison = new SchemaComparison(before == null ? Map.of() : before.defs(),
             after == null ? Map.of() : after.defs());
-        comparison.compare(before == null ? ANYTHING : before.node(), after == null ? ANYTHING : after.node(), "");
+        comparison.compare(before == null ? ANYTHING : before.node(), after == null ? ANYTHING
+            : after.node(), "");
         return List.copyOf(comparison.changes);
     }
 
@@ -252,7 +253,8 @@
         JsonNode restNow = after.has("items") ? after.get("items") : ANYTHING;
         int first = Math.max(before.path("prefixItems").size(), after.path("prefixItems").size());
         for (int i = 0; i < first; i++) {
-            compare(before.path("prefixItems").path(i).isMissingNode() ? rest : before.get("prefixItems").get(i),
+            compare(before.path("prefixItems").path(i).isMissingNode() ? rest : before.get("prefixItems")
+                .get(i),
                 after.path("prefixItems").path(i).isMissingNode() ? restNow : after.get("prefixItems").get(i),
                 pointer + "/" + i);
         }
@@ -291,7 +293,8 @@
             StringBuilder text = new StringBuilder("{");
             node.properties().stream().sorted(Map.Entry.comparingByKey()).forEach(member -> {
                 if (member.getKey().equals("$ref")) {
-                    text.append(depth < 4 ? expanded(defs.getOrDefault(member.getValue().textValue(), ANYTHING), defs,
+                    text.append(depth < 4 ? expanded(defs.getOrDefault(member.getValue().textValue(),
+                        ANYTHING), defs,
                         depth + 1) : "...");
                 } else {
                     text.append(member.getKey()).append(':').append(expanded(member.getValue(), defs, depth));
--- a/src/main/java/gorserill/contract/schema/Shape.java
+++ b/src/main/java/gorserill/contract/schema/Shape.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * What a schema says of the types it takes, as far as a text must be read by it: parameters come as texts, and
- * {@code 7} is a number to one schema and a text to another.
+ * What a schema says of the types it takes, as far as a text must be read by it: parameters come as texts,
+ * and {@code 7} is a number to one schema and a text to another.
  *
  * @param types JSON Schema's names of types; empty where any
  * @param items of a list; null where not said
--- a/src/main/java/gorserill/program/FaktoryConfig.java
+++ b/src/main/java/gorserill/program/FaktoryConfig.java
@@ -48,7 +48,8 @@
         for (Map.Entry<String, String> queue : bound(file, values, "queues", classes).entrySet()) {
             if (contract != null && !queue.getValue().equals(queues.get(queue.getKey()))) {
                 throw new ConfigException(file + ": queues." + queue.getKey(), "is not what "
-                    + values.get("asyncapi") + " says of this queue; leave it out here, or describe it there");
+                    + values.get("asyncapi")
+                        + " says of this queue; leave it out here, or describe it there");
             }
             queues.put(queue.getKey(), queue.getValue());
         }
--- a/src/main/java/gorserill/program/Main.java
+++ b/src/main/java/gorserill/program/Main.java
@@ -20,9 +20,9 @@
     private Main() { }
 
     /**
-     * Exit status 0 at the end, 1 on a fault, 2 on a wrong command line or configuration. Danger: the parser of
-     * the command line costs as much to load as a tenth of a node's start, so what the deployment starts, a
-     * command alone, goes past it.
+     * Exit status 0 at the end, 1 on a fault, 2 on a wrong command line or configuration. Danger: the parser
+     * of the command line costs as much to load as a tenth of a node's start, so what the deployment starts,
+     * a command alone, goes past it.
      */
     public static void main(String[] args) throws IOException, InterruptedException {
         switch (args.length == 1 ? args[0] : "") {
@@ -31,7 +31,8 @@
             case "adapter" -> System.exit(adapter());
             default -> System.exit(Gorserill.execute(args,
                 new Brought("serve", "Runs a node, as NODE_CONFIG says.", Main::serve),
-                new Brought("demo", "Runs a node with workers on this machine, and shows what becomes of jobs.",
+                new Brought("demo",
+                    "Runs a node with workers on this machine, and shows what becomes of jobs.",
                     Main::demo),
                 new Brought("adapter", "Runs the decisions on the simulator's wire.", Main::adapter),
                 new Brought("rehearse", "Runs a node's start, for the archive of classes.", Main::rehearse)));
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -211,7 +211,8 @@
             try {
                 // Danger: whoever is accepted must be served, so nobody is before the node is ready.
                 listening("clients", config.listen,
-                    transport.listenOnPassed(HttpCodec.server(loop, HttpFront.MAX_BODY, room), front::accept));
+                    transport.listenOnPassed(HttpCodec.server(loop, HttpFront.MAX_BODY, room),
+                        front::accept));
             } catch (IOException e) {
                 LOG.log(Level.SEVERE, "the passed socket can''t be used: {0}", e.getMessage());
                 loop.at(loop.now() + BIND_AGAIN, () -> ready(why));
@@ -230,8 +231,7 @@
 
     /**
      * Reads the configuration again and goes by it, as far as a running node can; a faulty one changes
-     * nothing.
-     * Any thread but the loop's may call it: reading and checking must not hold up requests.
+     * nothing. Any thread but the loop's may call it: reading and checking must not hold up requests.
      */
     synchronized void reload() {
         read(fault -> { });
--- a/src/main/java/gorserill/program/OperatorCalls.java
+++ b/src/main/java/gorserill/program/OperatorCalls.java
@@ -17,7 +17,8 @@
 
     /**
      * @param contracts tells of the contracts' versions, a line each
-     * @param reload reads the configuration again and tells, on the loop's thread, what is wrong with it, or null
+     * @param reload reads the configuration again and tells, on the loop's thread, what is wrong with it, or
+     *     null
      */
     OperatorCalls(Lifecycle life, Maintenance maintenance, Figures figures, Supplier<String> contracts,
                   Consumer<Consumer<String>> reload) {
--- a/src/main/java/gorserill/program/command/ContractCommand.java
+++ b/src/main/java/gorserill/program/command/ContractCommand.java
@@ -50,7 +50,8 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "say what to do: check, show, match, diff or export");
+        throw new ParameterException(spec.commandLine(),
+            "say what to do: check, show, match, diff or export");
     }
 
     /** In which form results are printed. */
@@ -101,7 +102,8 @@
     /** With the settings of a node, where the command can go without. */
     abstract static class WithSettings extends Base {
         @Option(names = "--settings", paramLabel = "FILE",
-            description = "a node's configuration, as NODE_CONFIG names it; without it classes are not checked")
+            description =
+                "a node's configuration, as NODE_CONFIG names it; without it classes are not checked")
         protected Path settings;
     }
 
@@ -180,7 +182,8 @@
         StringBuilder text = new StringBuilder();
         text.append(operation.id()).append("  ").append(operation.method() == null ? "message to"
             : operation.method()).append(' ').append(operation.address()).append('\n');
-        learned(operation).forEach((name, what) -> text.append(String.format(Locale.ROOT, "    %-9s %s  (%s)%n",
+        learned(operation).forEach((name, what) -> text.append(String.format(Locale.ROOT,
+            "    %-9s %s  (%s)%n",
             name, words(what), what.source())));
         return text.toString();
     }
@@ -208,7 +211,8 @@
         return learned;
     }
 
-    @Command(name = "diff", description = "Tells each change as compatible or breaking; exit status 0 if none is"
+    @Command(name = "diff", description =
+        "Tells each change as compatible or breaking; exit status 0 if none is"
         + " breaking, else 1.")
     static final class Diff extends WithSettings {
         @Parameters(index = "0", paramLabel = "OLD")
@@ -252,7 +256,8 @@
         Files.writeString(folder.resolve("asyncapi.json"), Export.asyncApi(rules).toPrettyString() + "\n");
     }
 
-    @Command(name = "export", description = "Makes the descriptions of a node's own fronts from its settings.")
+    @Command(name = "export", description =
+        "Makes the descriptions of a node's own fronts from its settings.")
     static final class ExportTo extends Base {
         @Option(names = "--settings", paramLabel = "FILE", required = true,
             description = "a node's configuration, as NODE_CONFIG names it")
@@ -280,8 +285,10 @@
         }
     }
 
-    @Command(name = "match", description = {"Holds a request against a description; exit status 0 if it is let in,"
-        + " 1 if it is turned away.", "For AsyncAPI say MESSAGE for the method and the queue for the path; headers"
+    @Command(name = "match", description =
+        {"Holds a request against a description; exit status 0 if it is let in,"
+        + " 1 if it is turned away.",
+            "For AsyncAPI say MESSAGE for the method and the queue for the path; headers"
         + " are then fields of the message's header object."})
     static final class Match extends WithSettings {
         @Parameters(index = "0", paramLabel = "FILE")
@@ -339,7 +346,8 @@
             for (String header : headers) {
                 int colon = header.indexOf(':');
                 if (colon < 1) {
-                    throw new ParameterException(spec.commandLine(), "-H '" + header + "' is no 'Name: value'");
+                    throw new ParameterException(spec.commandLine(), "-H '" + header
+                        + "' is no 'Name: value'");
                 }
                 String name = header.substring(0, colon).strip();
                 name = method.equals("MESSAGE") ? name : name.toLowerCase(Locale.ROOT);
--- a/src/main/java/gorserill/program/demo/Demo.java
+++ b/src/main/java/gorserill/program/demo/Demo.java
@@ -20,8 +20,8 @@
 import java.util.Map;
 
 /**
- * What a newcomer runs first: discovery, three workers and a node with both fronts under the exported contracts, in
- * one process on loopback.
+ * What a newcomer runs first: discovery, three workers and a node with both fronts under the exported
+ * contracts, in one process on loopback.
  */
 public final class Demo {
     private static final int WORKERS = 3;
@@ -63,7 +63,8 @@
      *
      * @param out what is told goes here
      */
-    public static void run(PrintStream out, NodeStart node, Exporter exporter, Runnable until) throws Exception {
+    public static void run(PrintStream out, NodeStart node, Exporter exporter,
+        Runnable until) throws Exception {
         new Demo(out).play(node, exporter, until);
     }
 
@@ -75,7 +76,8 @@
                 String name = "worker-" + w;
                 workers.add(new StandInWorker(name, runs, job -> new Reaction(
                     new String(job.body(), StandardCharsets.UTF_8).contains("fail") ? Kind.FAILED : Kind.DONE,
-                    job.lane().equals("historial") ? 200 : 30, "\"" + job.lane() + " done by " + name + "\"")));
+                    job.lane().equals("historial") ? 200 : 30, "\"" + job.lane() + " done by " + name
+                        + "\"")));
             }
             discovery.list(workers);
             Path settings = folder.resolve("node.json");
@@ -83,7 +85,8 @@
                 Files.writeString(settings, new String(text.readAllBytes(), StandardCharsets.UTF_8)
                     .replace("CLIENTS", "" + clients).replace("OPERATORS", "" + operators)
                     .replace("DISCOVERY", "" + discovery.address().getPort())
-                    .replace("\"endpoints\": []", "\"endpoints\": [" + StandInDiscovery.entries(workers) + "]"));
+                    .replace("\"endpoints\": []", "\"endpoints\": [" + StandInDiscovery.entries(workers)
+                        + "]"));
             }
             exporter.export(settings, folder);
             Path faktoryFile = folder.resolve("faktory.json");
@@ -108,12 +111,14 @@
         out.println("A node with " + WORKERS + " workers, all on this machine:");
         out.println("  HTTP clients     http://127.0.0.1:" + clients);
         out.println("  Faktory clients  127.0.0.1:" + faktory + " (tcp, no password)");
-        out.println("  operators        127.0.0.1:" + operators + ", for instance: echo telemetry | nc 127.0.0.1 "
+        out.println("  operators        127.0.0.1:" + operators
+            + ", for instance: echo telemetry | nc 127.0.0.1 "
             + operators);
         out.println("  its files        " + folder + "\n");
         out.println("A job of each class:");
         for (String name : List.of("estado", "historial", "alerta", "cierre")) {
-            out.println("  curl -i -X POST http://127.0.0.1:" + clients + "/" + name + " -H 'X-Txn: '$RANDOM$RANDOM"
+            out.println("  curl -i -X POST http://127.0.0.1:" + clients + "/" + name
+                + " -H 'X-Txn: '$RANDOM$RANDOM"
                 + (name.equals("cierre") ? " -H 'Idempotency-Key: k1'" : "") + " -d 'hello'");
         }
         out.println("\nWhat became of a few jobs:");
@@ -159,7 +164,8 @@
             var in = new java.io.BufferedReader(new java.io.InputStreamReader(socket.getInputStream(),
                 StandardCharsets.UTF_8));
             in.readLine();
-            socket.getOutputStream().write(("HELLO {\"v\":2}\r\nPUSH " + job + "\r\n").getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().write(("HELLO {\"v\":2}\r\nPUSH " + job + "\r\n")
+                .getBytes(StandardCharsets.UTF_8));
             in.readLine();
             out.println("  PUSH " + job + " -> " + in.readLine());
         }
--- a/src/main/java/gorserill/program/demo/StandIn.java
+++ b/src/main/java/gorserill/program/demo/StandIn.java
@@ -16,7 +16,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A server of HTTP/1.1 on a loopback port of its own, a thread for each connection: plain rather than fast. */
+/**
+ * A server of HTTP/1.1 on a loopback port of its own, a thread for each connection: plain rather than fast.
+ */
 abstract class StandIn implements Closeable {
     private final ServerSocket server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
--- a/src/main/java/gorserill/program/demo/StandInWorker.java
+++ b/src/main/java/gorserill/program/demo/StandInWorker.java
@@ -7,8 +7,9 @@
 import java.util.function.Function;
 
 /**
- * A worker of the platform's protocol that does nothing, slowly or badly as it is told, and counts. A job counts
- * as run from the moment that the worker says so, or that it could have begun: whatever breaks after its last byte.
+ * A worker of the platform's protocol that does nothing, slowly or badly as it is told, and counts. A job
+ * counts as run from the moment that the worker says so, or that it could have begun: whatever breaks after
+ * its last byte.
  */
 public final class StandInWorker extends StandIn {
     /** What a worker does with a job that it was sent. */
--- a/src/main/java/gorserill/protocol/admin/AdminFront.java
+++ b/src/main/java/gorserill/protocol/admin/AdminFront.java
@@ -37,8 +37,8 @@
         String answer(String about);
 
         /**
-         * The same for what takes its time: the answer may come later, on the loop's thread, within a second of
-         * the call.
+         * The same for what takes its time: the answer may come later, on the loop's thread, within a second
+         * of the call.
          */
         default void answer(String about, Consumer<String> to) {
             to.accept(answer(about));
--- a/src/test/java/gorserill/contract/ComparisonTest.java
+++ b/src/test/java/gorserill/contract/ComparisonTest.java
@@ -16,8 +16,10 @@
 /** What is told of a change of description. */
 class ComparisonTest {
     private static Contract body(String schema) {
-        return read("{post: {x-gorserill-class: estado, requestBody: {content: {application/json: {schema: " + schema
-            + "}}}, responses: {'200': {description: d, content: {application/json: {schema: " + schema + "}}}}}}");
+        return read("{post: {x-gorserill-class: estado, requestBody: {content: {application/json: {schema: "
+            + schema
+            + "}}}, responses: {'200': {description: d, content: {application/json: {schema: " + schema
+                + "}}}}}}");
     }
 
     private static Contract read(String item) {
@@ -40,14 +42,17 @@
             Arguments.of("{pattern: a}", "{pattern: b}", true, true),
             Arguments.of("{multipleOf: 2}", "{multipleOf: 4}", true, false),
             Arguments.of("{required: [a]}", "{required: [a, b]}", true, false),
-            Arguments.of("{properties: {a: {type: integer}}}", "{properties: {a: {type: string}}}", true, true),
+            Arguments.of("{properties: {a: {type: integer}}}", "{properties: {a: {type: string}}}", true,
+                true),
             Arguments.of("{properties: {a: {}}}", "{properties: {a: {}, b: {type: integer}}}", null, null),
             Arguments.of("{properties: {a: {}}, additionalProperties: false}",
                 "{properties: {a: {}, b: {}}, additionalProperties: false}", false, true),
             Arguments.of("{additionalProperties: false}", "{}", false, true),
             Arguments.of("{items: {maximum: 1}}", "{items: {maximum: 0}}", true, false),
-            Arguments.of("{anyOf: [{type: string}]}", "{anyOf: [{type: string}, {type: integer}]}", false, true),
-            Arguments.of("{allOf: [{type: string}]}", "{allOf: [{type: string}, {maxLength: 1}]}", true, false),
+            Arguments.of("{anyOf: [{type: string}]}", "{anyOf: [{type: string}, {type: integer}]}", false,
+                true),
+            Arguments.of("{allOf: [{type: string}]}", "{allOf: [{type: string}, {maxLength: 1}]}", true,
+                false),
             Arguments.of("{not: {type: string}}", "{not: {type: integer}}", true, true));
     }
 
@@ -73,18 +78,23 @@
             Arguments.of("{post: {%s}}", "{post: {%s}, get: {%s}}", "GET /j: is new", false),
             Arguments.of("{post: {%s, x-gorserill-effect: once}}", "{post: {%s, x-gorserill-effect: safe}}",
                 "effect: once became safe", true),
-            Arguments.of("{post: {%s}}", "{post: {%s, x-gorserill-effect: once}}", "effect: safe became once", false),
-            Arguments.of("{post: {%s}}", "{post: {x-gorserill-class: alerta}}", "class: estado became alerta", true),
+            Arguments.of("{post: {%s}}", "{post: {%s, x-gorserill-effect: once}}",
+                "effect: safe became once", false),
+            Arguments.of("{post: {%s}}", "{post: {x-gorserill-class: alerta}}",
+                "class: estado became alerta", true),
             Arguments.of("{post: {%s, x-gorserill-key: $request.query.a}}",
                 "{post: {%s, x-gorserill-key: $request.query.b}}", "key: $request.query.a became", true),
-            Arguments.of("{post: {%s, x-gorserill-deadline-ms: 900}}", "{post: {%s, x-gorserill-deadline-ms: 800}}",
+            Arguments.of("{post: {%s, x-gorserill-deadline-ms: 900}}",
+                "{post: {%s, x-gorserill-deadline-ms: 800}}",
                 "deadline: 900 ms became 800 ms", true),
             Arguments.of("{post: {%s}}", "{post: {%s, parameters: [{name: q, in: query, schema: {}}]}}",
                 "query q: is new", false),
-            Arguments.of("{post: {%s}}", "{post: {%s, parameters: [{name: q, in: query, required: true, schema: {}}]}}",
+            Arguments.of("{post: {%s}}",
+                "{post: {%s, parameters: [{name: q, in: query, required: true, schema: {}}]}}",
                 "query q: is new and required", true),
             Arguments.of("{post: {%s, requestBody: {content: {text/plain: {}, text/csv: {}}}}}",
-                "{post: {%s, requestBody: {content: {text/plain: {}}}}}", "body as text/csv: is no longer", true),
+                "{post: {%s, requestBody: {content: {text/plain: {}}}}}", "body as text/csv: is no longer",
+                    true),
             Arguments.of("{post: {%s, responses: {'200': {description: d}}}}",
                 "{post: {%s, responses: {'200': {description: d}, '418': {description: d}}}}",
                 "answer 418: is new", true))
@@ -100,7 +110,9 @@
             changes.toString());
     }
 
-    /** A description is the same as itself; requests of an old one get in by a new one that nothing breaks. */
+    /**
+     * A description is the same as itself; requests of an old one get in by a new one that nothing breaks.
+     */
     @Property(tries = 100, seed = "20261201", shrinking = ShrinkingMode.OFF)
     void whatIsNotBreakingLetsInWhatWasLetIn(@ForAll long seed) {
         Generated generated = new Generated(seed, 3);
@@ -129,6 +141,7 @@
     private static Verdict decide(Contract contract, Generated.Asked asked) {
         java.util.Map<String, String> fields = new java.util.HashMap<>();
         asked.headers().forEach((name, value) -> fields.put(name.toLowerCase(java.util.Locale.ROOT), value));
-        return Door.decide(contract, new Described.Asked(asked.method(), asked.target(), fields, asked.body()), 65_536);
+        return Door.decide(contract, new Described.Asked(asked.method(), asked.target(), fields,
+            asked.body()), 65_536);
     }
 }
--- a/src/test/java/gorserill/contract/DoorProperties.java
+++ b/src/test/java/gorserill/contract/DoorProperties.java
@@ -21,7 +21,8 @@
     private static Verdict decide(Contract contract, Generated.Asked asked) {
         Map<String, String> fields = new HashMap<>();
         asked.headers().forEach((name, value) -> fields.put(name.toLowerCase(Locale.ROOT), value));
-        return Door.decide(contract, new Described.Asked(asked.method(), asked.target(), fields, asked.body()),
+        return Door.decide(contract, new Described.Asked(asked.method(), asked.target(), fields,
+            asked.body()),
             65_536);
     }
 
--- a/src/test/java/gorserill/contract/DoorTest.java
+++ b/src/test/java/gorserill/contract/DoorTest.java
@@ -40,8 +40,10 @@
     @CsvSource({"/estado/camiones,concrete", "/estado/c1,any", "/%65stado/c1,any", "/estado/a%2Fb,any",
         "/estado/a/b.json,mixed", "/estado/a/all,all", "/estado/x/y,back", "/estado/c%C3%A1,any",
         // None of these spells out what is described, whatever another reader may make of it.
-        "/estado,", "/estado/,", "/estado//c1,", "//estado/c1,", "/estado/c1/,", "/estado/./c1,", "/estado/..,",
-        "/estado/%2e%2e,", "/estado/.%2E,", "/estado/%,", "/estado/%zz,", "/ESTADO/c1,", "/estado/a/b/c,", ","})
+        "/estado,", "/estado/,", "/estado//c1,", "//estado/c1,", "/estado/c1/,", "/estado/./c1,",
+            "/estado/..,",
+        "/estado/%2e%2e,", "/estado/.%2E,", "/estado/%,", "/estado/%zz,", "/ESTADO/c1,", "/estado/a/b/c,",
+            ","})
     void aPathFitsTheMostConcreteTemplateOrNone(String path, String id) {
         Verdict verdict = Described.paths(PATHS).post(path == null ? "" : path, null);
         assertEquals(id == null ? 404 : 0, status(verdict), () -> String.valueOf(verdict.problem()));
@@ -68,7 +70,8 @@
               /k: {servers: [{url: /other}], post: {x-gorserill-class: estado}}
             """);
         assertEquals(List.of(), described.told());
-        assertEquals(List.of(0, 0, 404, 404, 0, 404), Stream.of("/v1/j", "/v2/j", "/j", "/v3/j", "/other/k", "/v1/k")
+        assertEquals(List.of(0, 0, 404, 404, 0, 404), Stream.of("/v1/j", "/v2/j", "/j", "/v3/j", "/other/k",
+            "/v1/k")
             .map(path -> status(described.post(path, null))).toList());
     }
 
@@ -96,8 +99,10 @@
     @ParameterizedTest
     @MethodSource("styles")
     void eachStyleIsRead(String in, String style, boolean explode, String schema, String good, String bad) {
-        Described described = Described.paths("%s:\n  post:\n    x-gorserill-class: estado\n    parameters: [{name: p,"
-            .formatted(in.equals("path") ? "/p/{p}" : "/q") + " in: %s, required: true, style: %s, explode: %s, "
+        Described described =
+            Described.paths("%s:\n  post:\n    x-gorserill-class: estado\n    parameters: [{name: p,"
+            .formatted(in.equals("path") ? "/p/{p}" : "/q")
+                + " in: %s, required: true, style: %s, explode: %s, "
             .formatted(in, style, explode) + "schema: " + schema + "}]");
         assertEquals(List.of(), described.told());
         assertEquals(0, status(described.post(good, null)), good);
@@ -115,7 +120,8 @@
                   - {name: c, in: cookie, schema: {type: array, items: {type: integer}}, explode: false}
                   - {name: f, in: query, content: {application/json: {schema: {type: object, required: [a]}}}}
             """);
-        assertEquals(0, status(described.post("/q?f=%7B%22a%22%3A1%7D", null, "x-n", "7", "cookie", "a=b; c=1,2")));
+        assertEquals(0, status(described.post("/q?f=%7B%22a%22%3A1%7D", null, "x-n", "7", "cookie",
+            "a=b; c=1,2")));
         assertEquals(422, status(described.post("/q", null)));
         assertEquals(422, status(described.post("/q", null, "x-n", "x")));
         assertEquals(422, status(described.post("/q", null, "x-n", "7", "cookie", "c=1; c=2")));
@@ -139,12 +145,15 @@
             /n: {post: {x-gorserill-class: estado}}
             """);
         assertEquals(List.of(), described.told());
-        assertEquals(0, status(described.post("/b", "{\"a\":1}", "content-type", "Application/JSON; charset=utf-8")));
+        assertEquals(0, status(described.post("/b", "{\"a\":1}", "content-type",
+            "Application/JSON; charset=utf-8")));
         assertEquals(422, status(described.post("/b", "{\"b\":1}")));
         assertEquals(0, status(described.post("/b", "abc", "content-type", "text/plain")));
         assertEquals(422, status(described.post("/b", "abcd", "content-type", "text/plain")));
-        assertEquals(0, status(described.post("/b", "a=1&b=2", "content-type", "application/x-www-form-urlencoded")));
-        assertEquals(422, status(described.post("/b", "b=2", "content-type", "application/x-www-form-urlencoded")));
+        assertEquals(0, status(described.post("/b", "a=1&b=2", "content-type",
+            "application/x-www-form-urlencoded")));
+        assertEquals(422, status(described.post("/b", "b=2", "content-type",
+            "application/x-www-form-urlencoded")));
         assertEquals(415, status(described.post("/b", "a", "content-type", "image/png")));
         assertEquals(415, status(described.post("/b", "a", "content-type", "nonsense")));
         assertEquals(422, status(described.post("/b", null)));
@@ -159,14 +168,18 @@
     @Test
     void aBodyCutAtAnyByteIsTurnedAway() {
         Described described = Described.paths("""
-            /b: {post: {x-gorserill-class: estado, requestBody: {content: {application/json: {schema: {type: object}}}}}}
+            /b:
+              post:
+                x-gorserill-class: estado
+                requestBody: {content: {application/json: {schema: {type: object}}}}
             """);
         String whole = "{\"a\":[1,2.5e3,true,null,{\"é\":\"\\u00e9\\\"\"}]}";
         assertEquals(0, status(described.post("/b", whole)));
         byte[] bytes = whole.getBytes(java.nio.charset.StandardCharsets.UTF_8);
         for (int cut = 1; cut < bytes.length; cut++) {
             Verdict verdict = Door.decide(described.contract, new Described.Asked("POST", "/b",
-                java.util.Map.of("content-type", "application/json"), java.util.Arrays.copyOf(bytes, cut)), 65_536);
+                java.util.Map.of("content-type", "application/json"), java.util.Arrays.copyOf(bytes, cut)),
+                    65_536);
             assertEquals(422, status(verdict), "cut at " + cut);
         }
     }
@@ -187,7 +200,8 @@
         assertEquals(Effect.KEYED, terms("post: {x-gorserill-class: estado, x-gorserill-effect: keyed}")
             .effect().value());
         assertEquals(Effect.UNSAFE, terms("post: {x-gorserill-class: alerta}").effect().value());
-        Terms keyed = terms("post: {x-gorserill-class: estado, parameters: [{name: idempotency-key, in: header, "
+        Terms keyed =
+            terms("post: {x-gorserill-class: estado, parameters: [{name: idempotency-key, in: header, "
             + "required: true, schema: {type: string}}]}");
         assertEquals(Effect.KEYED, keyed.effect().value());
         assertTrue(keyed.effect().source().contains("required Idempotency-Key"), keyed.effect().source());
@@ -213,7 +227,8 @@
         for (String[] each : new String[][] {
             {"$request.body#/shipment/id", "/j", "{\"shipment\":{\"id\":\"k1\"}}"},
             {"$request.body#/n", "/j", "{\"n\":\"k1\"}"}, {"$request.query.q", "/j?q=k1", "{}"}}) {
-            Described described = Described.paths("/j: {post: {x-gorserill-class: cierre, x-gorserill-key: '" + each[0]
+            Described described = Described.paths("/j: {post: {x-gorserill-class: cierre, x-gorserill-key: '"
+                + each[0]
                 + "', requestBody: {content: {application/json: {}}}}}");
             assertEquals(List.of(), described.told());
             assertEquals("k1", described.post(each[1], each[2]).key());
@@ -266,10 +281,12 @@
     void messagesAreHeldAgainstTheirChannel() {
         Described described = Described.yaml(ASYNC);
         assertEquals(List.of(), described.told());
-        assertEquals(0, status(message(described, "estado.norte", "x", "{\"args\":[1],\"custom\":{\"who\":1}}")));
+        assertEquals(0, status(message(described, "estado.norte", "x",
+            "{\"args\":[1],\"custom\":{\"who\":1}}")));
         assertEquals(0, status(message(described, "estado.sur", "otro", "{\"args\":[1,2,3,4,5]}")));
         assertEquals(422, status(message(described, "estado.sur", "leer", "{\"args\":[1,2,3,4,5]}")));
-        assertEquals(422, status(message(described, "estado.este", "leer", "{\"args\":[],\"custom\":{\"who\":1}}")));
+        assertEquals(422, status(message(described, "estado.este", "leer",
+            "{\"args\":[],\"custom\":{\"who\":1}}")));
         assertEquals(422, status(message(described, "estado.sur", "leer", "{\"args\":[]}")));
         assertEquals(404, status(message(described, "nobody", "leer", "{}")));
         assertEquals("k1", message(described, "cierre", "c", "{\"args\":[\"k1\"]}").key());
--- a/src/test/java/gorserill/contract/Generated.java
+++ b/src/test/java/gorserill/contract/Generated.java
@@ -13,8 +13,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Descriptions made at random from a seed, with requests that are as described and requests that are not. It is
- * written from the specifications and uses nothing of the contracts' code, so that it can judge it.
+ * Descriptions made at random from a seed, with requests that are as described and requests that are not. It
+ * is written from the specifications and uses nothing of the contracts' code, so that it can judge it.
  */
 public final class Generated {
     private static final JsonNodeFactory MAKE = JsonNodeFactory.instance;
@@ -114,7 +114,8 @@
         Made item = schema(depth - 1);
         int least = random.nextInt(3);
         int most = least + 1 + random.nextInt(3);
-        ObjectNode schema = MAKE.objectNode().put("type", "array").put("minItems", least).put("maxItems", most);
+        ObjectNode schema = MAKE.objectNode().put("type", "array").put("minItems", least).put("maxItems",
+            most);
         schema.set("items", item.schema);
         return new Made(schema, r -> items(r, item.good, least + r.nextInt(most - least + 1)), r -> {
             if (r.nextBoolean()) {
@@ -145,7 +146,8 @@
     private Made one() {
         Made first = list(1);
         ObjectNode schema = MAKE.objectNode();
-        schema.putArray("oneOf").add(first.schema).add(MAKE.objectNode().put("type", "integer").put("maximum", 9))
+        schema.putArray("oneOf").add(first.schema).add(MAKE.objectNode().put("type", "integer")
+            .put("maximum", 9))
             .add(MAKE.objectNode().put("const", "nada"));
         return new Made(schema, r -> switch (r.nextInt(3)) {
             case 0 -> first.good.next(r);
@@ -209,7 +211,8 @@
         ObjectNode document = MAKE.objectNode().put("openapi", "3.1.0");
         document.putObject("info").put("title", "generated").put("version", "1");
         for (Op op : operations) {
-            ObjectNode post = document.withObjectProperty("paths").putObject(op.path + (op.byId ? "/{id}" : ""))
+            ObjectNode post = document.withObjectProperty("paths").putObject(op.path + (op.byId ? "/{id}"
+                : ""))
                 .putObject("post").put("x-gorserill-class", op.keyed ? keyedClass : safeClass);
             ArrayNode parameters = post.putArray("parameters");
             if (op.byId) {
@@ -217,7 +220,8 @@
                     .putObject("schema").put("type", "integer");
             }
             for (Query query : op.queries) {
-                parameters.addObject().put("name", query.name).put("in", "query").put("required", query.required)
+                parameters.addObject().put("name", query.name).put("in", "query").put("required",
+                    query.required)
                     .set("schema", query.made.schema);
             }
             ObjectNode body = post.putObject("requestBody").put("required", op.bodyRequired);
@@ -259,7 +263,8 @@
         Asked good = request(r, op, -1, List.of(0));
         switch (r.nextInt(8)) {
             case 0 -> {
-                return new Asked("POST", "/" + letters(r, 5) + good.target, good.headers, good.body, List.of(404));
+                return new Asked("POST", "/" + letters(r, 5) + good.target, good.headers, good.body,
+                    List.of(404));
             }
             case 1 -> {
                 return new Asked("PATCH", good.target, good.headers, good.body, List.of(405));
@@ -278,7 +283,8 @@
                     java.util.Arrays.copyOf(whole, r.nextInt(1, whole.length)), List.of(422));
             }
             case 4 -> {
-                return op.byId ? new Asked("POST", good.target.replaceFirst("(/g\\d+/)\\d+", "$1x"), good.headers,
+                return op.byId ? new Asked("POST", good.target.replaceFirst("(/g\\d+/)\\d+", "$1x"),
+                    good.headers,
                     good.body, List.of(422)) : request(r, op, 0, List.of(422));
             }
             case 5 -> {
@@ -290,7 +296,8 @@
                 return request(r, op, 0, List.of(422));
             }
             case 6 -> {
-                return request(r, op, op.queries.isEmpty() ? 0 : 1 + r.nextInt(op.queries.size()), List.of(422));
+                return request(r, op, op.queries.isEmpty() ? 0 : 1 + r.nextInt(op.queries.size()),
+                    List.of(422));
             }
             default -> {
                 return request(r, op, 0, List.of(422));
@@ -311,7 +318,8 @@
             if (faulty || query.required || r.nextBoolean()) {
                 String good = next + query.name + "=" + encoded(query.made.good.next(r));
                 boolean twice = faulty && r.nextInt(3) == 0;
-                target.append(faulty && !twice ? next + query.name + "=" + encoded(query.made.bad.next(r)) : good)
+                target.append(faulty && !twice ? next + query.name + "=" + encoded(query.made.bad.next(r))
+                    : good)
                     .append(twice ? "&" + good.substring(1) : "");
                 next = '&';
             }
--- a/src/test/java/gorserill/contract/ReadingTest.java
+++ b/src/test/java/gorserill/contract/ReadingTest.java
@@ -55,7 +55,8 @@
     void aFaultIsToldByItsPlace(String text, String told) {
         Described described = Described.yaml(text);
         assertNull(described.contract);
-        assertTrue(described.told().stream().anyMatch(line -> line.contains(told)), described.told().toString());
+        assertTrue(described.told().stream().anyMatch(line -> line.contains(told)), described.told()
+            .toString());
     }
 
     @Test
@@ -68,11 +69,13 @@
                 x-gorserill-class: nobody
                 x-gorserill-effect: often
                 x-gorserill-efect: safe
-                parameters: [{name: q, in: qery}, {name: r, in: query}, {name: s, in: query, schema: {type: txt}}]
+                parameters:
+                  [{name: q, in: qery}, {name: r, in: query}, {name: s, in: query, schema: {type: txt}}]
                 requestBody: {}
             """);
         List<String> told = described.told();
-        for (String part : List.of("{x} in the path is not described", "is the same as that of", "class 'nobody'",
+        for (String part : List.of("{x} in the path is not described", "is the same as that of",
+            "class 'nobody'",
             "'often' is no effect", "no extension 'x-gorserill-efect'", "'qery' is no place",
             "neither schema nor content", "'txt' is no type", "'content' is missing")) {
             assertTrue(told.stream().anyMatch(line -> line.contains(part)), part + " in " + told);
@@ -98,9 +101,12 @@
         var faults = new gorserill.contract.read.Faults();
         assertNull(ContractReader.read(linked.folder.resolve("e.yaml"), null, faults));
         assertTrue(faults.text().contains("leads out of the description's folder"), faults.text());
-        Described beside = new Described(Described.RULES, "d.yaml", "openapi: 3.1.0\ninfo: {title: t, version: '1'}\n"
-            + "paths:\n  /j: {$ref: 'parts/j.yaml#/item'}\n", "parts/j.yaml", "item:\n  post:\n    x-gorserill-class:"
-            + " estado\n    requestBody: {content: {application/json: {schema: {$ref: '../types.json#/T'}}}}\n",
+        Described beside = new Described(Described.RULES, "d.yaml",
+            "openapi: 3.1.0\ninfo: {title: t, version: '1'}\n"
+            + "paths:\n  /j: {$ref: 'parts/j.yaml#/item'}\n", "parts/j.yaml",
+                "item:\n  post:\n    x-gorserill-class:"
+            + " estado\n    requestBody: {content: {application/json: {schema: {$ref: "
+                + "'../types.json#/T'}}}}\n",
             "types.json", "{\"T\": {\"type\": \"integer\"}}");
         assertEquals(List.of(), beside.told());
         assertEquals(0, Described.status(beside.post("/j", "7")));
@@ -111,16 +117,19 @@
     void aCycleOfReferencesIsAFaultOnlyWhereItNeverEnds() {
         Described never = Described.paths("/j: {$ref: '#/paths/~1k'}\n/k: {$ref: '#/paths/~1j'}");
         assertTrue(never.told().get(0).contains("leads back to itself"), never.told().toString());
-        for (String schema : List.of("{$ref: '#/components/schemas/A'}", "{allOf: [{$ref: '#/components/schemas/A'}]}",
+        for (String schema : List.of("{$ref: '#/components/schemas/A'}",
+            "{allOf: [{$ref: '#/components/schemas/A'}]}",
             "{anyOf: [{type: 'null'}, {not: {$ref: '#/components/schemas/B'}}]}")) {
             Described loop = Described.yaml("openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n"
-                + BODY.formatted("{$ref: '#/components/schemas/A'}").indent(2) + "components:\n  schemas:\n    A: "
+                + BODY.formatted("{$ref: '#/components/schemas/A'}").indent(2)
+                    + "components:\n  schemas:\n    A: "
                 + schema + "\n    B: {$ref: '#/components/schemas/A'}\n");
             assertTrue(loop.told().stream().anyMatch(line -> line.contains("leads back to itself")), schema
                 + loop.told());
         }
         Described tree = Described.yaml("openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n"
-            + BODY.formatted("{$ref: '#/components/schemas/T'}").indent(2) + "components:\n  schemas:\n    T: "
+            + BODY.formatted("{$ref: '#/components/schemas/T'}").indent(2)
+                + "components:\n  schemas:\n    T: "
             + "{type: object, properties: {v: {type: integer}, next: {$ref: '#/components/schemas/T'}}}\n");
         assertEquals(List.of(), tree.told());
         assertEquals(0, Described.status(tree.post("/j", "{\"v\":1,\"next\":{\"next\":{\"v\":2}}}")));
@@ -132,7 +141,8 @@
     void anAliasBombIsAFault() {
         StringBuilder bomb = new StringBuilder("a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n");
         for (int i = 1; i < 12; i++) {
-            bomb.append("a%d: &a%d [%s]\n".formatted(i, i, ("*a" + (i - 1) + ", ").repeat(9) + "*a" + (i - 1)));
+            bomb.append("a%d: &a%d [%s]\n".formatted(i, i, ("*a" + (i - 1) + ", ").repeat(9) + "*a"
+                + (i - 1)));
         }
         Described described = assertTimeoutPreemptively(Duration.ofSeconds(20),
             () -> Described.yaml(bomb + "openapi: 3.1.0"));
@@ -144,7 +154,8 @@
         String deep = "{\"properties\":{\"a\":".repeat(1_000) + "{}" + "}}".repeat(1_000);
         for (String text : List.of(deep, "x: " + "[".repeat(1_000) + "]".repeat(1_000))) {
             Described described = Described.yaml(text);
-            assertTrue(described.told().get(0).contains("levels") || described.told().get(0).contains("depth"),
+            assertTrue(described.told().get(0).contains("levels") || described.told().get(0)
+                .contains("depth"),
                 described.told().toString());
         }
     }
@@ -164,7 +175,8 @@
     @Test
     void anExponentialSchemaEndsInTime() {
         Described twice = Described.yaml("openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n"
-            + BODY.formatted("{$ref: '#/components/schemas/T'}").indent(2) + "components:\n  schemas:\n    T: "
+            + BODY.formatted("{$ref: '#/components/schemas/T'}").indent(2)
+                + "components:\n  schemas:\n    T: "
             + "{type: object, properties: {n: {anyOf: [{$ref: '#/components/schemas/T'}, "
             + "{$ref: '#/components/schemas/T'}]}}}\n");
         assertEquals(List.of(), twice.told());
@@ -187,7 +199,8 @@
     @Test
     void eachDialectIsReadInItsOwnWay() {
         String v30 = "openapi: 3.0.3\ninfo: {title: t, version: '1'}\npaths:\n" + BODY.formatted(
-            "{type: object, required: [id, n], properties: {id: {type: integer, readOnly: true}, n: {type: integer, "
+            "{type: object, required: [id, n], properties: {id: {type: integer, readOnly: true}, n: {type: "
+                + "integer, "
             + "nullable: true, maximum: 5, exclusiveMaximum: true}}}").indent(2).stripTrailing()
             + "\n      responses: {'200': {description: d}}\n";
         Described described = Described.yaml(v30);
@@ -196,8 +209,10 @@
         assertEquals(0, Described.status(described.post("/j", "{\"n\":4}")));
         assertEquals(422, Described.status(described.post("/j", "{\"n\":5}")));
         assertEquals(422, Described.status(described.post("/j", "{}")));
-        Described pets = Described.yaml("openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n" + BODY.formatted(
-            "{oneOf: [{$ref: '#/components/schemas/Cat'}, {$ref: '#/components/schemas/Dog'}], discriminator: "
+        Described pets = Described.yaml("openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n"
+            + BODY.formatted(
+            "{oneOf: [{$ref: '#/components/schemas/Cat'}, {$ref: '#/components/schemas/Dog'}], "
+                + "discriminator: "
             + "{propertyName: kind, mapping: {perro: '#/components/schemas/Dog'}}}").indent(2)
             + "components:\n  schemas:\n    Cat: {type: object, properties: {lives: {type: integer}}}\n"
             + "    Dog: {type: object, required: [bark], properties: {bark: {type: string}}}\n");
@@ -221,7 +236,8 @@
 
     @Test
     void warningsDoNotKeepADescriptionOut() {
-        Described described = Described.paths("/j:\n  put: {x-gorserill-class: alerta, x-gorserill-effect: once}");
+        Described described =
+            Described.paths("/j:\n  put: {x-gorserill-class: alerta, x-gorserill-effect: once}");
         assertTrue(described.contract != null && described.faults.sound());
         assertFalse(described.told().isEmpty());
     }
--- a/src/test/java/gorserill/contract/VersionsTest.java
+++ b/src/test/java/gorserill/contract/VersionsTest.java
@@ -19,7 +19,8 @@
 
     private static Contract contract(String version, String effect, String key) {
         Described described = Described.yaml("openapi: 3.1.0\ninfo: {title: t, version: '" + version + "'}\n"
-            + "paths: {/j: {post: {x-gorserill-class: cierre, x-gorserill-effect: " + effect + ", x-gorserill-key: '"
+            + "paths: {/j: {post: {x-gorserill-class: cierre, x-gorserill-effect: " + effect
+                + ", x-gorserill-key: '"
             + key + "', requestBody: {content: {application/json: {}}}}}}\n");
         assertEquals(List.of(), described.told());
         return described.contract;
@@ -44,7 +45,8 @@
         versions.taken(first);
         versions.replace(BODY, 1);
         assertEquals("h1", ask(versions, 2, true, "h1", "b1").verdict().key(), "its workers know it by h1");
-        assertEquals("b1", ask(versions, 2, false, "h1", "b1").verdict().key(), "it does not say it is a repeat");
+        assertEquals("b1", ask(versions, 2, false, "h1", "b1").verdict().key(),
+            "it does not say it is a repeat");
         assertEquals("b2", ask(versions, 2, true, "h2", "b2").verdict().key(), "its first try never came");
         Admission other = ask(versions, 3, false, "h3", "b3");
         versions.taken(other);
@@ -82,7 +84,10 @@
         assertEquals(List.of(), versions.kept());
     }
 
-    /** Whatever comes in whichever order: a version stays while something is open under it, and goes after that. */
+    /**
+     * Whatever comes in whichever order: a version stays while something is open under it, and goes after
+     * that.
+     */
     @Test
     void aVersionGoesWithItsLastRequest() {
         for (long seed = 0; seed < 50; seed++) {
@@ -101,7 +106,8 @@
                         }
                     }
                     default -> {
-                        Admission admission = ask(versions, now, random.nextBoolean(), "h" + step, "b" + step);
+                        Admission admission = ask(versions, now, random.nextBoolean(), "h" + step, "b"
+                            + step);
                         assertEquals(versions.current(), admission.version());
                         versions.taken(admission);
                         open.add(admission);
--- a/src/test/java/gorserill/measure/ContractBenchmark.java
+++ b/src/test/java/gorserill/measure/ContractBenchmark.java
@@ -30,7 +30,8 @@
 @Measurement(iterations = 5, time = 1)
 @Fork(value = 2, jvmArgsAppend = {"-XX:+UseSerialGC", "-Xmx512m"})
 public class ContractBenchmark {
-    private static final String START = "{\"openapi\":\"3.1.0\",\"info\":{\"title\":\"t\",\"version\":\"1\"},\"paths\":{";
+    private static final String START =
+        "{\"openapi\":\"3.1.0\",\"info\":{\"title\":\"t\",\"version\":\"1\"},\"paths\":{";
 
     private record Asked(String path, String contentType, byte[] body) implements Call {
         @Override
@@ -75,11 +76,14 @@
             calls = new Call[operations];
             for (int i = 0; i < operations; i++) {
                 String path = "/area" + i % 7 + "/thing" + i;
-                text.append(i == 0 ? "" : ",").append("\"").append(path).append(i % 2 == 0 ? "/{id}/state" : "/state/all")
+                text.append(i == 0 ? "" : ",").append("\"").append(path).append(i % 2 == 0 ? "/{id}/state"
+                    : "/state/all")
                     .append("\":{\"post\":{\"operationId\":\"o").append(i).append("\"")
-                    .append(i % 2 == 0 ? ",\"parameters\":[{\"name\":\"id\",\"in\":\"path\",\"required\":true,"
+                    .append(i % 2 == 0
+                        ? ",\"parameters\":[{\"name\":\"id\",\"in\":\"path\",\"required\":true,"
                         + "\"schema\":{}}]" : "").append("}}");
-                calls[i] = new Asked(path + (i % 2 == 0 ? "/c" + i + "/state" : "/state/all"), null, new byte[0]);
+                calls[i] = new Asked(path + (i % 2 == 0 ? "/c" + i + "/state" : "/state/all"), null,
+                    new byte[0]);
             }
             contract = read(text.append("}}").toString());
         }
@@ -109,14 +113,16 @@
                 "/j":{"post":{"requestBody":{"content":{"application/json":{"schema":{"type":"object",
                 "required":["readings"],"properties":{"readings":{"type":"array","items":{"type":"object",
                 "required":["room","t"],"additionalProperties":false,"properties":{"room":{"type":"string",
-                "pattern":"^c[0-9]+$"},"t":{"type":"number","minimum":-40,"maximum":60},"ok":{"type":"boolean"},
+                "pattern":"^c[0-9]+$"},
+                "t":{"type":"number","minimum":-40,"maximum":60},"ok":{"type":"boolean"},
                 "state":{"enum":["open","shut"]}}}}}}}}}}}}}""");
             StringBuilder text = new StringBuilder("{\"readings\":[");
             for (int i = 0; text.length() < kib * 1024 - 70; i++) {
                 text.append(i == 0 ? "" : ",").append("{\"room\":\"c").append(i)
                     .append("\",\"t\":-18.5,\"ok\":true,\"state\":\"shut\"}");
             }
-            call = new Asked("/j", "application/json", text.append("]}").toString().getBytes(StandardCharsets.UTF_8));
+            call = new Asked("/j", "application/json", text.append("]}").toString()
+                .getBytes(StandardCharsets.UTF_8));
         }
     }
 
--- a/src/test/java/gorserill/measure/ContractCost.java
+++ b/src/test/java/gorserill/measure/ContractCost.java
@@ -20,7 +20,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Measures what the door adds to a node's cost of a request: CPU of a node's process for each, with a contract and
+ * Measures what the door adds to a node's cost of a request: CPU of a node's process for each, with a
+ * contract and
  * without, by turns.
  *
  * <pre>java -cp target/test-classes:target/gorserill.jar gorserill.measure.ContractCost ROUNDS REQUESTS</pre>
@@ -44,7 +45,8 @@
               /estado/{id}:
                 post:
                   x-gorserill-class: estado
-                  parameters: [{name: id, in: path, required: true, schema: {type: string, pattern: '^c[0-9]+$'}}]
+                  parameters:
+                    [{name: id, in: path, required: true, schema: {type: string, pattern: '^c[0-9]+$'}}]
                   requestBody:
                     content:
                       application/json:
@@ -135,9 +137,11 @@
                 Files.writeString(config, new String(text.readAllBytes(), StandardCharsets.UTF_8)
                     .replace("CLIENTS", "" + port).replace("OPERATORS", "" + free())
                     .replace("DISCOVERY", "" + discovery.address().getPort())
-                    .replace("\"endpoints\": []", "\"endpoints\": [" + StandInDiscovery.entries(workers) + "]"));
+                    .replace("\"endpoints\": []", "\"endpoints\": [" + StandInDiscovery.entries(workers)
+                        + "]"));
             }
-            ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms40m",
+            ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xms40m",
                 "-Xmx40m", "-jar", "target/gorserill.jar", "serve").redirectErrorStream(true);
             builder.environment().put("NODE_CONFIG", config.toString());
             if (bound) {
@@ -163,7 +167,8 @@
                     served += one;
                 }
                 Duration after = node.info().totalCpuDuration().orElseThrow();
-                System.err.printf("%s, %d KiB: served %d of %d in %.1f s%n", bound ? "bound" : "free", kib, served, requests,
+                System.err.printf("%s, %d KiB: served %d of %d in %.1f s%n", bound ? "bound" : "free", kib,
+                    served, requests,
                     (System.nanoTime() - begun) / 1e9);
                 if (served < requests * 9 / 10) {
                     System.err.println("only " + served + " of " + requests + " were served");
@@ -188,7 +193,8 @@
                 sums[0] += round(false, requests, kib);
                 sums[1] += round(true, requests, kib);
             }
-            System.out.printf("bodies of %d KiB: %.0f us of CPU a request without a contract, %.0f with: the door is"
+            System.out.printf("bodies of %d KiB: %.0f us of CPU a request without a contract, %.0f with: "
+                + "the door is"
                 + " %.0f %% of the whole%n", kib, sums[0] / rounds, sums[1] / rounds,
                 100 * (sums[1] - sums[0]) / sums[1]);
         }
--- a/src/test/java/gorserill/measure/StartTime.java
+++ b/src/test/java/gorserill/measure/StartTime.java
@@ -15,7 +15,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Measures a node's start, from the start of its process until it says that it is ready: time and CPU, builds by
+ * Measures a node's start, from the start of its process until it says that it is ready: time and CPU, builds
+ * by
  * turns, so that whatever else the machine does meets them all alike.
  *
  * <pre>java src/test/java/gorserill/measure/StartTime.java STARTS [VARIABLE=VALUE...] FOLDER...</pre>
@@ -24,7 +25,8 @@
  */
 public final class StartTime {
     private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:-UsePerfData",
-        "-XX:TieredStopAtLevel=1", "-Xms40m", "-Xmx40m", "-XX:MaxMetaspaceSize=32m", "-XX:MaxDirectMemorySize=8m",
+        "-XX:TieredStopAtLevel=1", "-Xms40m", "-Xmx40m", "-XX:MaxMetaspaceSize=32m",
+            "-XX:MaxDirectMemorySize=8m",
         "-XX:ReservedCodeCacheSize=24m", "-Xss512k", "-XX:SharedArchiveFile=target/gorserill.jsa");
 
     private StartTime() { }
@@ -44,7 +46,8 @@
         List<String> command = new ArrayList<>(List.of("java"));
         command.addAll(FLAGS);
         command.addAll(List.of("-jar", "target/gorserill.jar", "serve"));
-        ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile()).redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile())
+            .redirectErrorStream(true);
         builder.environment().put("NODE_CONFIG", config.toString());
         builder.environment().putAll(variables);
         long begun = System.nanoTime();
@@ -80,7 +83,8 @@
             }
         }
         for (Map.Entry<Path, List<double[]>> build : figures.entrySet()) {
-            StringBuilder line = new StringBuilder(build.getKey() + ": " + build.getValue().size() + " starts");
+            StringBuilder line = new StringBuilder(build.getKey() + ": " + build.getValue().size()
+                + " starts");
             for (int f = 0; f < 2; f++) {
                 int figure = f;
                 List<Double> sorted = new ArrayList<>(build.getValue().stream().map(v -> v[figure]).toList());
--- a/src/test/java/gorserill/program/ContractChangeTest.java
+++ b/src/test/java/gorserill/program/ContractChangeTest.java
@@ -11,7 +11,8 @@
 
 /** What a change of contract, or of half of one, does to requests that are open and to those that come. */
 public class ContractChangeTest {
-    private static final String HELLO = "F connect faktory;;F expect HI;;F send HELLO none - salt 1;;F expect OK";
+    private static final String HELLO =
+        "F connect faktory;;F expect HI;;F send HELLO none - salt 1;;F expect OK";
 
     private static String http(String effect, String key, String answers) {
         return """
@@ -37,7 +38,10 @@
             """.formatted(effect, effect);
     }
 
-    /** Plays lines, separated by two semicolons, against a node under contracts; {@code X call NAME} puts others in place. */
+    /**
+     * Plays lines, separated by two semicolons, against a node under contracts; {@code X call NAME} puts
+     * others in place.
+     */
     private static void play(String[] contracts, String[]... others) throws Exception {
         try (Scenario scenario = new Scenario()) {
             Path folder = Files.createTempDirectory("change");
@@ -84,7 +88,8 @@
     public void aReloadThatFailsHalfWayChangesNothing() throws Exception {
         String key = "$request.header.Idempotency-Key";
         play(new String[] {http("once", key, "off"), messages("once"),
-            TELL + "http version 1 in force described=once.*faktory version 1 in force described=once.*eof\\n",
+            TELL + "http version 1 in force described=once.*faktory version 1 in force "
+                + "described=once.*eof\\n",
             "X call half;;" + RELOAD + "fail .*its jobs would be repeated where they must not be.*\\n",
             TELL + "http version 1 in force described=once.*faktory version 1 in force.*eof\\n",
             "X call torn;;" + RELOAD + "fail .*not readable as YAML.*\\n",
@@ -96,7 +101,10 @@
             new String[] {"whole", http("safe", key, "off"), messages("once")});
     }
 
-    /** Taken as once, it stays so, whatever is put in force; what comes later goes by that, and both change back. */
+    /**
+     * Taken as once, it stays so, whatever is put in force; what comes later goes by that, and both change
+     * back.
+     */
     @Test
     public void anOpenRequestKeepsItsVersionAndItsEffect() throws Exception {
         String key = "$request.header.Idempotency-Key";
@@ -111,7 +119,8 @@
             TELL + "http version 2 in force.*eof\\n",
             "D connect clients;;D" + post + "t-2\\r\\n\\r\\n;;V accept w1|w2;;V expect t-2",
             "X call back;;" + RELOAD + "ok\\n;;V reset",
-            "W accept w1|w2;;W expect t-2;;W send ANSWER;;W send LAST {\"state\":\"done\",\"result\":1};;D expect 200 OK",
+            "W accept w1|w2;;W expect t-2;;W send ANSWER;;W send LAST {\"state\":\"done\",\"result\":1};;D "
+                + "expect 200 OK",
             TELL + "http version 3 in force described=once.*eof\\n"}, safe, once);
     }
 
@@ -121,8 +130,10 @@
         String[] report = {"report", http("safe", key, "report"), messages("once")};
         String job = " send POST /estado HTTP/1.1\\r\\nX-Txn: ";
         play(new String[] {http("safe", key, "enforce"), messages("once"),
-            "C connect clients;;C" + job + "t-1\\r\\n\\r\\n;;W accept w1|w2;;W expect t-1.*\\r\\n\\r\\n;;W send ANSWER",
-            "W send LAST {\"state\":\"done\",\"result\":\"x\"};;C expect 500 Internal;;W expect <nothing> 200",
+            "C connect clients;;C" + job
+                + "t-1\\r\\n\\r\\n;;W accept w1|w2;;W expect t-1.*\\r\\n\\r\\n;;W send ANSWER",
+            "W send LAST {\"state\":\"done\",\"result\":\"x\"};;C expect 500 Internal;;W expect <nothing> "
+                + "200",
             TELL + "http version 1 in force.*bad_answers=1.*eof\\n",
             "X call report;;" + RELOAD + "ok\\n",
             "C" + job + "t-2\\r\\n\\r\\n;;W expect t-2;;W send ANSWER",
@@ -133,7 +144,8 @@
     @Test
     public void allThatIsTurnedAwayHearsSoInOneForm() throws Exception {
         play(new String[] {http("safe", "$request.header.K", "off"), messages("once"),
-            "C connect clients;;C send POST /cierre HTTP/1.1\\r\\nX-Txn: a\\r\\nIdempotency-Key: b\\r\\nIdempotency-Key: c\\r\\n\\r\\n",
+            "C connect clients;;C send POST /cierre HTTP/1.1\\r\\nX-Txn: a\\r\\nIdempotency-Key: "
+                + "b\\r\\nIdempotency-Key: c\\r\\n\\r\\n",
             "C expect 400 Bad Request\\r\\nContent-Type: application/problem.json",
             "C connect clients;;C send POST /cierre HTTP/1.1\\r\\nX-Txn: a\\r\\nK: b\\r\\nK: c\\r\\n\\r\\n",
             "C expect 422 Unprocessable.*key at .request.header.k",
@@ -143,7 +155,8 @@
             "C expect 422 Unprocessable.*key at .request.header.k is missing",
             "C send DELETE /cierre HTTP/1.1\\r\\nX-Txn: a\\r\\n\\r\\n;;C expect 405 .*Allow: POST\\r\\n",
             "C send POST /a%2Fb HTTP/1.1\\r\\nX-Txn: a\\r\\n\\r\\n;;C expect 404 ",
-            HELLO, "F send PUSH {\"jid\":\"job-0001\",\"jobtype\":\"x\",\"queue\":\"nobody\",\"args\":[]}\\r\\n",
+            HELLO, "F send PUSH "
+                + "{\"jid\":\"job-0001\",\"jobtype\":\"x\",\"queue\":\"nobody\",\"args\":[]}\\r\\n",
             "F expect -ERR No such operation: no channel is described at nobody\\r\\n"});
     }
 
--- a/src/test/java/gorserill/program/ContractRunTest.java
+++ b/src/test/java/gorserill/program/ContractRunTest.java
@@ -33,11 +33,15 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.testng.annotations.Test;
 
 /** Contracts on the wire: both fronts of a node, stand-in workers, and clients that count their answers. */
 public class ContractRunTest {
     private static final int PATIENCE = 20_000;
+    /** Kept, since a logger that nobody holds forgets its level: each forbidden contract would be told. */
+    private static final Logger LOG = Logger.getLogger(Node.class.getName());
 
     /** A node under contracts, with workers. */
     private static final class Bound implements Closeable {
@@ -56,7 +60,8 @@
                 workers.add(new StandInWorker("w" + w, runs, behaviour));
             }
             discovery.list(workers);
-            fixture = new Fixture(discovery.address(), StandInDiscovery.entries(workers).replace("\"m\"", "\"std4\""),
+            fixture = new Fixture(discovery.address(), StandInDiscovery.entries(workers).replace("\"m\"",
+                "\"std4\""),
                 15_000, "{\"enabled\":true,\"listen\":\"LISTEN\",\"asyncapi\":\"" + asyncApi + "\"}");
             fixture.environment.put("GORSERILL_OPENAPI", openApi.toString());
             node = new Node(NodeConfig.read(fixture.environment), fixture.environment);
@@ -67,7 +72,8 @@
         /** Moves whole files into place. */
         void write(String http, String messages) throws IOException {
             for (Map.Entry<Path, String> file : Map.of(openApi, http, asyncApi, messages).entrySet()) {
-                Path fresh = Files.writeString(file.getKey().resolveSibling(file.getKey().getFileName() + ".new"),
+                Path fresh = Files.writeString(file.getKey().resolveSibling(file.getKey().getFileName()
+                    + ".new"),
                     file.getValue());
                 Files.move(fresh, file.getKey(), java.nio.file.StandardCopyOption.ATOMIC_MOVE,
                     java.nio.file.StandardCopyOption.REPLACE_EXISTING);
@@ -165,7 +171,9 @@
         }
     }
 
-    /** 10,000 requests of each kind on each front; a conforming one may be refused for want of room, no more. */
+    /**
+     * 10,000 requests of each kind on each front; a conforming one may be refused for want of room, no more.
+     */
     @Test
     public void whatIsNotAsDescribedGetsOneAnswerAndNoWorker() throws Exception {
         int threads = 8;
@@ -174,7 +182,8 @@
         Set<String> bad = ConcurrentHashMap.newKeySet();
         AtomicInteger turnedAway = new AtomicInteger();
         AtomicInteger letIn = new AtomicInteger();
-        try (Bound bound = new Bound(generated.openApi("estado", "cierre"), generated.asyncApi("estado", "cierre"), 4,
+        try (Bound bound = new Bound(generated.openApi("estado", "cierre"), generated.asyncApi("estado",
+            "cierre"), 4,
             job -> new Reaction(Kind.DONE, 0, "1"))) {
             List<Callable<Void>> all = new ArrayList<>();
             for (int t = 0; t < threads; t++) {
@@ -191,10 +200,12 @@
                             headers.put("X-Txn", id);
                             int status = http.post(asked.method(), asked.target(), headers, asked.body());
                             boolean taken = status == 200 || status == 503;
-                            assertTrue(good ? taken : asked.statuses().contains(status), asked + ": " + status);
+                            assertTrue(good ? taken : asked.statuses().contains(status), asked + ": "
+                                + status);
                             assertTrue(http.quiet(), "a second answer to " + asked);
                             String reply = faktory.push(generated.job(random, "job-" + id, good));
-                            assertEquals(reply.equals("+OK") || reply.startsWith("-ERR refused"), good, reply);
+                            assertEquals(reply.equals("+OK") || reply.startsWith("-ERR refused"), good,
+                                reply);
                             assertTrue(faktory.quiet(), "a second reply to " + id);
                             (good ? letIn : turnedAway).addAndGet(2);
                             if (!good) {
@@ -214,7 +225,9 @@
         }
     }
 
-    /** In A reading is to run once and the key is in a header, in B reading is safe and the key in the body. */
+    /**
+     * In A reading is to run once and the key is in a header, in B reading is safe and the key in the body.
+     */
     private static String http(boolean a) {
         return """
             openapi: 3.1.0
@@ -271,10 +284,13 @@
             synchronized (faults) {
                 chance = faults.nextInt(10);
             }
-            return chance < 2 ? new Reaction(Kind.RESET, 2, "") : chance < 3 ? new Reaction(Kind.FAILED, 1, "")
-                : chance < 4 ? new Reaction(Kind.LATE, 400, "1") : new Reaction(Kind.DONE, 1, chance < 5 ? "\"x\"" : "1");
+            return chance < 2 ? new Reaction(Kind.RESET, 2, "") : chance < 3 ? new Reaction(Kind.FAILED, 1,
+                "")
+                : chance < 4 ? new Reaction(Kind.LATE, 400, "1") : new Reaction(Kind.DONE, 1, chance < 5
+                    ? "\"x\"" : "1");
         };
         AtomicInteger reloads = new AtomicInteger();
+        LOG.setLevel(Level.OFF);
         AtomicBoolean ended = new AtomicBoolean();
         Map<Integer, AtomicInteger> statuses = new ConcurrentHashMap<>();
         try (Bound bound = new Bound(http(true), messages(true), 6, behaviour)) {
@@ -302,13 +318,17 @@
             } finally {
                 ended.set(true);
                 changer.join();
+                LOG.setLevel(null);
             }
             List<String> twice = bound.runs.entrySet().stream().filter(run -> run.getValue() > 1
                 && run.getKey().startsWith("once")).map(Object::toString).toList();
             assertEquals(twice, List.of(), "ran more than once");
-            assertTrue(bound.runs.entrySet().stream().anyMatch(run -> run.getValue() > 1), "nothing was repeated");
-            assertTrue(bound.runs.keySet().stream().anyMatch(id -> id.startsWith("once-lectura")), "none under A");
-            assertTrue(bound.runs.keySet().stream().anyMatch(id -> id.startsWith("safe-lectura")), "none under B");
+            assertTrue(bound.runs.entrySet().stream().anyMatch(run -> run.getValue() > 1),
+                "nothing was repeated");
+            assertTrue(bound.runs.keySet().stream().anyMatch(id -> id.startsWith("once-lectura")),
+                "none under A");
+            assertTrue(bound.runs.keySet().stream().anyMatch(id -> id.startsWith("safe-lectura")),
+                "none under B");
             keys.forEach((id, all) -> assertEquals(all.size(), 1, id + " had the keys " + all));
             assertTrue(reloads.get() > 10, reloads + " reloads");
             assertTrue(statuses.containsKey(200) && statuses.containsKey(500) && statuses.containsKey(422),
@@ -316,7 +336,8 @@
         }
     }
 
-    private static Void http(Bound bound, int thread, Map<Integer, AtomicInteger> statuses) throws IOException {
+    private static Void http(Bound bound, int thread, Map<Integer,
+        AtomicInteger> statuses) throws IOException {
         SplittableRandom random = new SplittableRandom(100 + thread);
         try (Client client = new Client(bound.fixture.clients)) {
             for (int i = 0; i < 100; i++) {
@@ -350,7 +371,8 @@
             for (int i = 0; i < 60; i++) {
                 boolean alert = random.nextBoolean();
                 boolean a = random.nextBoolean();
-                String jid = (alert ? "once-alerta" : a ? "once-lectura" : "safe-lectura") + "-f-" + thread + "-" + i;
+                String jid = (alert ? "once-alerta" : a ? "once-lectura" : "safe-lectura") + "-f-" + thread
+                    + "-" + i;
                 String reply = client.push("{\"jid\":\"" + jid + "\",\"jobtype\":\"x\",\"queue\":\""
                     + (alert ? "alerta" : "lectura") + "\",\"args\":[],\"custom\":{\"remaining_ms\":250,\""
                     + (a ? "a" : "b") + "\":1}}");
--- a/src/test/java/gorserill/program/DescriptionsTest.java
+++ b/src/test/java/gorserill/program/DescriptionsTest.java
@@ -75,7 +75,8 @@
             "W accept w1", "W expect POST /" + name + " .*X-Lane: " + name + "\\r\\n.*hi", "W send ANSWER",
             "W send LAST {\"state\":\"done\",\"result\":\"yes\"}", "C expect 200 OK.*yes",
             post + "\\r\\n",
-            "C expect 422 Unprocessable.*application/problem.json.*header X-Txn is required", "C connect clients",
+            "C expect 422 Unprocessable.*application/problem.json.*header X-Txn is required",
+                "C connect clients",
             post + "X-Txn: t-2\\r\\nX-Lane: odd\\r\\n\\r\\n", "C expect 422 .*header X-Lane",
             "C connect clients", "C send POST /healthz HTTP/1.1\\r\\n\\r\\n", "C expect 405",
             "C connect clients", "C send POST /odd HTTP/1.1\\r\\n\\r\\n", "C expect 404",
@@ -134,7 +135,8 @@
             {ASYNC_API, "\"x-gorserill-class\" : \"alerta\"", "\"x-gorserill-class\" : \"nobody\"",
                 "#/channels/alerta/x-gorserill-class: class 'nobody' is not among"},
             {ASYNC_API, "\"address\" : \"estado\",", "", "#/channels/estado: 'address' is missing"},
-            {ASYNC_API, "\"#/channels/cierre\"", "\"#/channels/none\"", "$ref '#/channels/none' names nothing"},
+            {ASYNC_API, "\"#/channels/cierre\"", "\"#/channels/none\"",
+                "$ref '#/channels/none' names nothing"},
             {ASYNC_API, "\"asyncapi\"", "\"asink\"", "neither 'openapi' nor 'asyncapi' is said"},
         };
     }
