Both readers of descriptions share what they have in common

OpenApi and AsyncApi repeated how a description begins, and two tests how a generated request is asked. Description and Described hold these now. The key's guard against a header that comes twice is gone: joined values have a blank, which is no key's.

--- a/src/main/java/gorserill/contract/AsyncApi.java
+++ b/src/main/java/gorserill/contract/AsyncApi.java
@@ -8,11 +8,9 @@
 import gorserill.contract.read.Value.Kind;
 import gorserill.contract.schema.Check;
 import gorserill.contract.schema.Dialect;
-import gorserill.contract.schema.SchemaBundle;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -21,37 +19,24 @@
  * submits jobs: {@code publish} in 2.6, which speaks for the client, {@code receive} in 3.0, which speaks for
  * the application. The other direction, to workers, binds nobody.
  */
-final class AsyncApi {
+final class AsyncApi extends Description {
     private static final List<String> SCHEMA_FORMATS = List.of("application/vnd.aai.asyncapi",
         "application/schema+json", "application/schema+yaml", "application/vnd.oai.openapi");
 
-    private final Spot root;
-    private final Learner learner;
-    private final SchemaBundle schemas = new SchemaBundle();
-    private final Templates<Map<String, Operation>> templates = new Templates<>();
-    private final List<Operation> operations = new ArrayList<>();
-    private final Map<String, Spot> ids = new HashMap<>();
     private boolean old;
 
     AsyncApi(Spot root, Map<String, JobRule> rules) {
-        this.root = root;
-        learner = new Learner(rules);
+        super(root, rules);
     }
 
     Contract read() {
-        String spoken = root.text("asyncapi");
-        if (spoken == null || !spoken.matches("(2\\.[0-6]|3\\.0)\\.[0-9]+.*")) {
-            root.raw("asyncapi").error("AsyncAPI '" + spoken + "' is not spoken", "write it for 2.6 or 3.0");
-            return null;
-        }
-        old = spoken.startsWith("2");
-        Learner.spelling(root);
-        Spot info = root.get("info");
-        if (info == null) {
-            root.error("'info' is missing", "add it with title and version");
-        }
-        String title = info == null ? null : info.needed("title", "give the description a title");
-        String version = info == null ? null : info.needed("version", "give the description a version");
+        return read(Contract.Kind.ASYNCAPI, "asyncapi", "(2\\.[0-6]|3\\.0)\\.[0-9]+.*",
+            "write it for 2.6 or 3.0");
+    }
+
+    @Override
+    void gather() {
+        old = root.text("asyncapi").startsWith("2");
         if (root.raw("channels") == null) {
             root.error("'channels' is missing", "describe the queues under channels");
         } else if (old) {
@@ -59,9 +44,6 @@
         } else {
             channels3();
         }
-        schemas.findLoops();
-        return new Contract(Contract.Kind.ASYNCAPI, title, version, root.fingerprint(), operations,
-            templates, schemas);
     }
 
     private void channel2(String address, Spot channel) {
--- a/src/main/java/gorserill/contract/Door.java
+++ b/src/main/java/gorserill/contract/Door.java
@@ -18,7 +18,11 @@
  * hears: path, method, size, media type, parameters, body, key. One thread uses it at a time.
  */
 public final class Door {
-    /** Danger: a key becomes a header on its way to a worker, where a line end would start another. */
+    /**
+     * Danger: a key becomes a header on its way to a worker, where a line end would start another. A header
+     * that
+     * comes twice has a blank in it, so it is no key either.
+     */
     private static final Pattern KEY = Pattern.compile("[!-~]{1,128}");
     private static final String NO_OPERATION = "No such operation";
     private static final String BAD_REQUEST = "Request not as described";
@@ -124,7 +128,7 @@
             return null;
         }
         String key = switch (from.value().from()) {
-            case HEADER -> call.repeated(from.value().name()) ? null : call.header(from.value().name());
+            case HEADER -> call.header(from.value().name());
             case QUERY -> {
                 List<String> values = query.getOrDefault(from.value().name(), List.of());
                 yield values.size() == 1 ? Segments.decode(values.get(0), true) : null;
--- a/src/main/java/gorserill/contract/OpenApi.java
+++ b/src/main/java/gorserill/contract/OpenApi.java
@@ -7,9 +7,7 @@
 import gorserill.contract.read.Value.Kind;
 import gorserill.contract.schema.Check;
 import gorserill.contract.schema.Dialect;
-import gorserill.contract.schema.SchemaBundle;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,40 +16,26 @@
 import java.util.Set;
 
 /** Reads an OpenAPI description, 3.0 or 3.1. */
-final class OpenApi {
+final class OpenApi extends Description {
     private static final Set<String> METHODS =
         Set.of("get", "put", "post", "delete", "options", "head", "patch", "trace");
     /** Parameters of these names are not read as such (OpenAPI 3.1.1, 4.8.12.2.1). */
     private static final Set<String> IGNORED_HEADERS = Set.of("accept", "content-type", "authorization");
     private static final int MAX_BASES = 32;
 
-    private final Spot root;
-    private final Learner learner;
-    private final SchemaBundle schemas = new SchemaBundle();
-    private final Templates<Map<String, Operation>> templates = new Templates<>();
-    private final List<Operation> operations = new ArrayList<>();
-    private final Map<String, Spot> ids = new HashMap<>();
     private Dialect dialect = Dialect.OPENAPI_31;
 
     OpenApi(Spot root, Map<String, JobRule> rules) {
-        this.root = root;
-        learner = new Learner(rules);
+        super(root, rules);
     }
 
     Contract read() {
-        String spoken = root.text("openapi");
-        if (spoken == null || !spoken.matches("3\\.[01]\\.[0-9]+.*")) {
-            root.raw("openapi").error("OpenAPI '" + spoken + "' is not spoken", "write it for 3.0 or 3.1");
-            return null;
-        }
-        dialect = spoken.startsWith("3.0") ? Dialect.OPENAPI_30 : Dialect.OPENAPI_31;
-        Learner.spelling(root);
-        Spot info = root.get("info");
-        if (info == null) {
-            root.error("'info' is missing", "add it with title and version");
-        }
-        String title = info == null ? null : info.needed("title", "give the description a title");
-        String version = info == null ? null : info.needed("version", "give the description a version");
+        return read(Contract.Kind.OPENAPI, "openapi", "3\\.[01]\\.[0-9]+.*", "write it for 3.0 or 3.1");
+    }
+
+    @Override
+    void gather() {
+        dialect = root.text("openapi").startsWith("3.0") ? Dialect.OPENAPI_30 : Dialect.OPENAPI_31;
         if (root.raw("paths") == null && (dialect == Dialect.OPENAPI_30
             || root.raw("components") == null && root.raw("webhooks") == null)) {
             root.error("'paths' is missing", "describe the operations under paths");
@@ -62,9 +46,6 @@
                 path(path.getKey(), path.getValue(), bases);
             }
         }
-        schemas.findLoops();
-        return new Contract(Contract.Kind.OPENAPI, title, version, root.fingerprint(), operations,
-            templates, schemas);
     }
 
     // ---- paths ----
--- a/src/test/java/gorserill/contract/Described.java
+++ b/src/test/java/gorserill/contract/Described.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** A description under test: written to a folder of its own, read, asked. */
@@ -73,6 +74,12 @@
             body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8)), 65_536);
     }
 
+    Verdict decide(Generated.Asked asked) {
+        Map<String, String> fields = new HashMap<>();
+        asked.headers().forEach((name, value) -> fields.put(name.toLowerCase(Locale.ROOT), value));
+        return Door.decide(contract, new Asked(asked.method(), asked.target(), fields, asked.body()), 65_536);
+    }
+
     record Asked(String method, String target, Map<String, String> fields, byte[] body) implements Call {
         @Override
         public String path() {
