--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -110,7 +110,8 @@
     static NodeConfig read(Map<String, String> environment) throws ConfigException {
         String file = environment.get("NODE_CONFIG");
         if (file == null) {
-            throw new ConfigException("NODE_CONFIG", "is not set");
+            throw new ConfigException("NODE_CONFIG",
+                "is not set; name a node's JSON file there, or run the command demo to try one");
         }
         Map<String, String> top = new LinkedHashMap<>();
         Map<String, String> settings = null;
