A description with one value of the wrong kind is a fault and never a crash

Read again, the reader fell over type: [null], an enum of a server's variable that holds null, and an empty list of items, which ended the start with a trace. They are faults with their places now; a list under items is one in OpenAPI, where it has no meaning; and what the validator itself can't use is told by its place. A test puts values of other kinds into 600 generated and exported descriptions.

--- a/src/main/java/gorserill/contract/Contract.java
+++ b/src/main/java/gorserill/contract/Contract.java
@@ -51,7 +51,7 @@
      * Makes all validators, before another thread may use it. Danger: left until they are needed, they are
      * made on the one thread that serves everybody.
      */
-    public void prepare() {
+    void prepare() {
         schemas.prepare();
     }
 
--- a/src/main/java/gorserill/contract/ContractReader.java
+++ b/src/main/java/gorserill/contract/ContractReader.java
@@ -30,6 +30,9 @@
             root.error("neither 'openapi' nor 'asyncapi' is said",
                 "begin with openapi: 3.1.0 or asyncapi: 3.0.0");
         }
+        if (root.faults().sound()) {
+            contract.prepare();
+        }
         return root.faults().sound() ? contract : null;
     }
 }
--- a/src/main/java/gorserill/contract/OpenApi.java
+++ b/src/main/java/gorserill/contract/OpenApi.java
@@ -120,7 +120,11 @@
     private static List<String> fill(List<String> urls, String name, Spot variable) {
         Set<String> values = new LinkedHashSet<>();
         String otherwise = variable.needed("default", "give the variable's default");
-        variable.itemsOf("enum").forEach(value -> values.add(value.value().text()));
+        for (Spot value : variable.itemsOf("enum")) {
+            if (value.must(Kind.TEXT)) {
+                values.add(value.value().text());
+            }
+        }
         if (otherwise != null) {
             values.add(otherwise);
         }
--- a/src/main/java/gorserill/contract/Operation.java
+++ b/src/main/java/gorserill/contract/Operation.java
@@ -41,11 +41,6 @@
         return Learner.acts(method);
     }
 
-    /** How many parameters it describes. */
-    public int parameterCount() {
-        return parameters.size();
-    }
-
     /** What a worker's answer to a request that was served carries; null where that is not described. */
     Content servedContent() {
         for (String status : List.of("200", "2XX", "default")) {
--- a/src/main/java/gorserill/contract/schema/SchemaBundle.java
+++ b/src/main/java/gorserill/contract/schema/SchemaBundle.java
@@ -204,7 +204,11 @@
         if (UNSPOKEN.contains(name) && dialect == Dialect.OPENAPI_31 || name.equals("$id")) {
             spot.error("'" + name + "' is not spoken here", "use $ref with a pointer, or $anchor");
         } else if (name.equals("items") && spot.is(Kind.LIST)) {
-            out.set("prefixItems", list(spot, dialect, answer, false));
+            if (dialect != Dialect.ASYNCAPI) {
+                spot.error("'items' is a list", "write one schema, or prefixItems in OpenAPI 3.1");
+            } else if (!spot.value().items().isEmpty()) {
+                out.set("prefixItems", list(spot, dialect, answer, false));
+            }
         } else if (name.equals("additionalItems")) {
             // Draft 7's counts only beside a list of items.
             if (schema.raw("items") != null && schema.raw("items").is(Kind.LIST)) {
@@ -324,7 +328,7 @@
                 type.error("'" + type.value().text() + "' is no type", "use one of " + sorted(TYPES));
             }
         }
-        if (spot.faults().sound() || types.stream().allMatch(t -> TYPES.contains(t.value().text()))) {
+        if (types.stream().allMatch(type -> type.is(Kind.TEXT) && TYPES.contains(type.value().text()))) {
             out.set("type", spot.value().toJson());
         }
     }
@@ -427,9 +431,19 @@
 
     // ---- at work ----
 
-    /** Makes all validators, so that the first requests don't wait for them. */
+    /**
+     * Makes all validators, so that the first requests don't wait for them. What can't be made is a fault.
+     */
     public void prepare() {
-        definitions.keySet().forEach(key -> compiled(key).initializeValidators());
+        for (String key : definitions.keySet()) {
+            try {
+                compiled(key).initializeValidators();
+            } catch (RuntimeException e) {
+                spots.get(key).error("the validator can't use the schemas: " + e.getMessage(),
+                    "correct what it names, here or in what this refers to");
+                return;
+            }
+        }
     }
 
     /** A definition's validator; what it refers to is compiled when it is first used. */
--- a/src/main/java/gorserill/program/Descriptions.java
+++ b/src/main/java/gorserill/program/Descriptions.java
@@ -41,7 +41,6 @@
                     + rules.keySet());
             }
         }
-        contract.prepare();
         faults.all().forEach(warning -> LOG.log(Level.WARNING, "{0}", warning));
         return contract;
     }
--- a/src/main/java/gorserill/program/command/ContractCommand.java
+++ b/src/main/java/gorserill/program/command/ContractCommand.java
@@ -123,11 +123,6 @@
                 Faults faults = new Faults();
                 Contract contract = ContractReader.read(Library.open(file, faults), rules);
                 sound &= faults.sound();
-                if (contract != null) {
-                    // As a node does, so that whatever only shows then shows here, the time it takes
-                    // included.
-                    contract.prepare();
-                }
                 faults.all().forEach(fault -> add(list, fault));
                 if (format == Format.text) {
                     out().print(faults.text());
--- a/src/test/java/gorserill/contract/ReadingTest.java
+++ b/src/test/java/gorserill/contract/ReadingTest.java
@@ -235,6 +235,53 @@
         assertEquals(422, Described.status(described.post("/j", "false")));
     }
 
+    /**
+     * One value is put in place of another, of whatever kind: that is a fault or it is not, but never a
+     * crash.
+     */
+    @Test
+    void nothingThatIsWrongWithADescriptionIsACrash() throws IOException {
+        String[] others = {"null", "1", "-1", "1e400", "\"x\"", "[]", "[null]", "{}", "true", "[{}]",
+            "{\"$ref\":\"#\"}", "{\"$ref\":1}"};
+        String servers =
+            "{\"servers\":[{\"url\":\"/{v}\",\"variables\":{\"v\":{\"default\":\"a\",\"enum\":[\"b\"]}}}],";
+        Path folder = Files.createTempDirectory("wrong");
+        int sound = 0;
+        for (int seed = 0; seed < 600; seed++) {
+            java.util.SplittableRandom random = new java.util.SplittableRandom(seed);
+            Generated generated = new Generated(seed % 20, 3);
+            String text = switch (seed % 4) {
+                case 0 -> generated.asyncApi("estado", "cierre");
+                case 1 -> servers + generated.openApi("estado", "cierre").substring(1);
+                case 2 -> Files.readString(Path.of("deploy/openapi.json"));
+                default -> Files.readString(Path.of("deploy/asyncapi.json"));
+            };
+            var root = new com.fasterxml.jackson.databind.ObjectMapper().readTree(text);
+            List<com.fasterxml.jackson.databind.JsonNode> parents = new java.util.ArrayList<>(
+                root.findParents("type"));
+            for (String name : List.of("schema", "enum", "in", "default", "address", "payload", "parameters",
+                "properties", "oneOf", "required", "messages", "url", "content", "maximum", "action")) {
+                parents.addAll(root.findParents(name));
+            }
+            var parent = (com.fasterxml.jackson.databind.node.ObjectNode)
+                parents.get(random.nextInt(parents.size()));
+            List<String> names = new java.util.ArrayList<>();
+            parent.fieldNames().forEachRemaining(names::add);
+            parent.set(names.get(random.nextInt(names.size())),
+                new com.fasterxml.jackson.databind.ObjectMapper()
+                .readTree(others[random.nextInt(others.length)]));
+            Path file = Files.writeString(folder.resolve("d.json"), root.toString());
+            var faults = new gorserill.contract.read.Faults();
+            int at = seed;
+            Contract contract = org.junit.jupiter.api.Assertions.assertDoesNotThrow(() ->
+                ContractReader.read(Library.open(file, faults), null), () -> "seed " + at + ": " + root);
+            assertFalse(faults.text().contains("the validator can't use"), faults::text);
+            assertEquals(faults.sound(), contract != null, faults.text());
+            sound += contract == null ? 0 : 1;
+        }
+        assertTrue(sound > 50 && sound < 550, sound + " sound");
+    }
+
     @Test
     void warningsDoNotKeepADescriptionOut() {
         Described described =
