The terms of an operation say how long and how many slots, for both fronts alike

Both fronts worked out the deadline and the slots that a contract gives in the same lines; Terms does it now.

--- a/src/main/java/gorserill/contract/Terms.java
+++ b/src/main/java/gorserill/contract/Terms.java
@@ -18,6 +18,16 @@
     /** What happens to a worker's answer that is not as described. */
     public enum Answers { OFF, REPORT, ENFORCE }
 
+    /** How long a client waits at the most, no longer than {@code most} microseconds. */
+    public long within(long most) {
+        return deadline == null ? most : Math.min(most, deadline.value());
+    }
+
+    /** The slots that a job takes whose request does not say. */
+    public double usualSlots() {
+        return slots == null ? 1 : slots.value();
+    }
+
     /** The class's name, or null. */
     public String className() {
         return jobClass == null ? null : jobClass.value();
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -444,11 +444,9 @@
 
         private void take(FaktoryJob job, String text, ClassTerms of, String key, Admission admission) {
             Terms told = admission == null ? null : admission.verdict().operation().terms();
-            long most = told == null || told.deadline() == null ? of.deadline()
-                : Math.min(of.deadline(), told.deadline().value());
+            long most = told == null ? of.deadline() : told.within(of.deadline());
             long left = job.remainingMs() < 0 ? most : Math.min(most, job.remainingMs() * 1_000);
-            double slots = job.slots() >= 0 ? job.slots()
-                : told == null || told.slots() == null ? 1 : told.slots().value();
+            double slots = job.slots() >= 0 ? job.slots() : told == null ? 1 : told.usualSlots();
             Bond bond = admission == null ? null : gate.bind(admission, job.jid());
             Push taken = new Push(this, job.jid(),
                 of.unsafe() || bond != null && bond.effect() == Effect.UNSAFE, size);
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -282,9 +282,8 @@
                 try {
                     Labels labels = Labels.of(head);
                     Terms told = admission == null ? null : admission.verdict().operation().terms();
-                    long most = told == null || told.deadline() == null ? terms.deadline()
-                        : Math.min(terms.deadline(), told.deadline().value());
-                    double slots = told == null || told.slots() == null ? 1 : told.slots().value();
+                    long most = told == null ? terms.deadline() : told.within(terms.deadline());
+                    double slots = told == null ? 1 : told.usualSlots();
                     ask = new Ask(request.arrived(), labels.remaining(most),
                         "1".equals(head.header("x-resent")), 0, labels.key(),
                         labels.number("slots", "width", slots), labels.number("memory", "ram_units", 0));
