A job's choice of worker counts the likely wait there, not run time alone

Cause: with 14 nodes over 60 workers a node sends each worker a job every 4 s, so shares (Choice.judge, queued: a step of a fifth or a quarter a job) tell of a queue far too late, and Choice.offer ranked workers by learned run time alone.

Change: a worker's reports of free slots, less the own jobs out there, are followed as others' use; the likely wait from that and the own jobs joins the run time. The rehearsal in the build waits until the second address is open; two builds in a row had failed on it.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -15,7 +15,7 @@
  * <p>A QA-NT market runs for each worker over this dispatcher's own pushes. Each period its slot-seconds are
  * filled with a quota for each good, the dearest by the slot-second first; a request met by no quota raises
  * the good's price there, leftover lowers it; a job goes to the able worker with quota and the shortest
- * learned run time, and what nobody takes is held for a period. A good is a class of jobs of one width.
+ * learned time to its end, and what nobody takes is held for a period. A good is a class of jobs of one width.
  */
 public final class Choice implements Dispatcher {
     /** λ: a price moves by a tenth for each request unmet or job left over, within a span of the worth. */
@@ -35,6 +35,9 @@
     private static final int HOME = 1;
     /** Goods of a class: up to 1, 2, 4 and more slots wide. */
     private static final int WIDTHS = 4;
+    /** What reports tell of a worker's slots is followed by this part; its chance, in slots of one. */
+    private static final double BUSY_MEMORY = 0.3;
+    private static final double UNSURE = 4;
     /** A prompt start adds this part of the even share, a queued one takes this part of the share. */
     private static final double GROW = 0.25;
     private static final double SHRINK = 0.2;
@@ -69,6 +72,7 @@
     private final double[] allowance;
     private final double[] usage;
     private double fetch;
+    private double hold;
     private double part = 1;
     private long nextPeriod;
     private long askListAt = Long.MAX_VALUE;
@@ -178,7 +182,7 @@
                 }
             }
             // Danger: a worker that fails what it starts has short queues, and would draw job after job.
-            double run = runAt(s, job) * (1 + s.errors)
+            double run = (runAt(s, job) + wait(s, job)) * (1 + s.errors)
                 * (s.worker.zone() == settings.zone() ? 1 : 1 + CROSSING * settings.crossZonePrice());
             if (s.owed && job.effect == Effect.SAFE) {
                 run = 0;
@@ -207,6 +211,17 @@
         return Math.min(1, place / (2 + 2 * busy));
     }
 
+    /**
+     * How long a job is likely to wait there for room, by what reports tell of others' jobs and by own jobs
+     * out there. Danger: many dispatchers see few jobs each, too few for shares to tell of a queue in time;
+     * by run time alone all of them fill the quickest workers and leave the others idle.
+     */
+    private double wait(Seller s, Job job) {
+        double slots = ledger.slots(s);
+        double beyond = job.slots + s.busy + s.out - slots;
+        return hold * s.pace / slots * (beyond + Math.sqrt(beyond * beyond + UNSURE * slots)) / 2;
+    }
+
     private double runAt(Seller s, Job job) {
         return job.good.run * s.pace + fetch * miss(s, job.key);
     }
@@ -282,6 +297,7 @@
         s.sold(job.good, cold(s, now));
         s.credit -= a.expected * job.slots;
         s.freeSlots -= job.slots;
+        s.out += job.slots;
         s.freeMemory -= job.memory;
         out.send(job.id, s.worker.id());
     }
@@ -408,6 +424,13 @@
             slots += ledger.slots(s);
         }
         double mean = sellers.isEmpty() ? 1 : paces / sellers.size();
+        double cost = 0;
+        double seen = 1e-9;
+        for (Good g : goods) {
+            cost += g.requests * g.cost();
+            seen += g.requests;
+        }
+        hold = cost / seen;
         part = Math.min(1, SHARES_IN_SLOT * slots / sellers.size() / settings.dispatchers());
         boolean stranded = true;
         for (Seller s : sellers) {
@@ -583,12 +606,14 @@
         a.neverRan = outcome.neverRan;
         open.remove(a);
         job.out--;
+        s.out -= job.slots;
         s.running -= a.startedAt > 0 ? job.slots : 0;
         if (!Double.isNaN(freeSlots)) {
             s.freeSlots = freeSlots;
             s.freeMemory = freeMemory;
             s.reportAt = now;
             ledger.slotsSeen(s, freeSlots);
+            s.busy += BUSY_MEMORY * (Math.max(0, ledger.slots(s) - freeSlots - s.out) - s.busy);
         }
         switch (outcome) {
             case SERVED -> learn(a, now);
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -214,6 +214,10 @@
         double credit;
         /** Slots of own jobs that run. */
         double running;
+        /** Slots of own jobs sent there and not ended. */
+        double out;
+        /** Slots that others' jobs take, by reports. */
+        double busy;
         /** An own job waits there to start. */
         boolean queueing;
         int failures;
--- a/src/main/java/gorserill/program/Main.java
+++ b/src/main/java/gorserill/program/Main.java
@@ -67,7 +67,7 @@
         }
     }
 
-    private static int rehearse() throws IOException {
+    private static int rehearse() throws IOException, InterruptedException {
         Logging.setUp();
         try {
             String answer = Rehearsal.run();
--- a/src/main/java/gorserill/program/Rehearsal.java
+++ b/src/main/java/gorserill/program/Rehearsal.java
@@ -35,7 +35,7 @@
     }
 
     /** Gives the first line of the answer. */
-    static String run() throws IOException, ConfigException {
+    static String run() throws IOException, ConfigException, InterruptedException {
         int port = free();
         int operators = free();
         Path file = Files.createTempFile("rehearsal", ".json");
@@ -48,6 +48,8 @@
             Node node = new Node(config, environment);
             node.start();
             try {
+                // Danger: the second address opens a moment after the start; a build must not depend on it.
+                node.awaitReady();
                 ask(operators, "telemetry\n");
                 return ask(port, ASKED).lines().findFirst().orElse("nothing");
             } finally {
--- a/src/test/java/barrowflow/MarketTest.java
+++ b/src/test/java/barrowflow/MarketTest.java
@@ -42,6 +42,37 @@
         assertEquals(1, host.sent.size());
     }
 
+    @Test
+    void aQuickWorkerThatOthersFillIsPassedByForASlowerOneWithRoom() {
+        for (long seed = 0; seed < 8; seed++) {
+            assertTrue(sentToTheQuicker(seed, 4) >= 16, "with room, seed " + seed);
+            assertTrue(sentToTheQuicker(seed, 0) <= 4, "filled by others, seed " + seed);
+        }
+    }
+
+    /** Of 20 jobs, one at a time, after some to learn from; the slower worker has four free slots. */
+    private static long sentToTheQuicker(long seed, double freeAtQuicker) {
+        FakeHost host = new FakeHost(FakeHost.settings(1, List.of(), FakeHost.SAFE), seed).withWorkers(2);
+        long quicker = 0;
+        host.request(0, 0);
+        for (long id = 1; id <= 40; id++) {
+            // The first is offered beside another one, so that both workers become known.
+            host.request(id, 0);
+            host.pass(300_000);
+            host.started(id, 0);
+            boolean quick = host.lastSend(id).worker() == 1;
+            quicker += quick && id > 20 ? 1 : 0;
+            host.pass(quick ? 60_000 : 66_000);
+            host.module.ended(host.now, id, 0, Outcome.SERVED, true, quick ? freeAtQuicker : 4, 4);
+            if (id == 1) {
+                host.started(0, 0);
+                host.pass(host.lastSend(0).worker() == 1 ? 60_000 : 66_000);
+                host.ended(0, 0, Outcome.SERVED);
+            }
+        }
+        return quicker;
+    }
+
     @Test
     void jobsGoToTheWorkerWithTheShortestLearnedRunTime() {
         for (long seed = 0; seed < 8; seed++) {
