Cold workers take their part: a job drawn for one stands until a job comes

Choice.supply closed a quota drawn for a cold worker after one period of 7.5 ms, and a node has a job every 70 ms. Choice.offer also let a crossing of zones count as four times the job's whole time, and knew of no queue but by the report of a worker that others fill.

Ruled out: cold workers as slow ones (their jobs ran 600 to 770 ms, 631 ms at the others), late lists (heard 1.1 to 1.5 s after the change), CPU.

Change: a drawn job stands for a quarter of the fall window, at a rate lowered for it, so that the sum over the window keeps its bound; a crossing costs a time; the last own wait at a worker joins the likely wait and fades within 2 s; a cold worker's slots count by its warmth. One INFO line a listing in place of one a worker. A model of many dispatchers on a virtual clock (FleetModel) shows both failures; each test was seen to fail without its code.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -15,7 +15,7 @@
  * <p>A QA-NT market runs for each worker over this dispatcher's own pushes. Each period its slot-seconds are
  * filled with a quota for each good, the dearest by the slot-second first; a request met by no quota raises
  * the good's price there, leftover lowers it; a job goes to the able worker with quota and the shortest
- * learned time to its end, and what nobody takes is held for a period. A good is a class of jobs of one width.
+ * learned time to its end, and what nobody takes is held for a period. A good is a class's jobs of a width.
  */
 public final class Choice implements Dispatcher {
     /** λ: a price moves by a tenth for each request unmet or job left over, within a span of the worth. */
@@ -29,15 +29,15 @@
     private static final double SLACK = 1.5;
     /** A start on a connection that must be opened first takes so many times as long as the quickest one. */
     private static final double OPENING = 3;
-    /** A crossing of zones counts as so many times its price in run time: own workers first, unless slow. */
-    private static final double CROSSING = 30;
-    /** Where a crossing has a price, only own workers are asked for the first so many periods. */
-    private static final int HOME = 1;
+    /** A crossing of zones counts as so many times its price in time: own workers first, unless behind. */
+    private static final double CROSSING = 3;
     /** Goods of a class: up to 1, 2, 4 and more slots wide. */
     private static final int WIDTHS = 4;
     /** What reports tell of a worker's slots is followed by this part; its chance, in slots of one. */
     private static final double BUSY_MEMORY = 0.3;
     private static final double UNSURE = 4;
+    /** How long an own job waited at a worker counts less as time goes on, in microseconds. */
+    private static final double WAIT_MEMORY = 2e6;
     /** A prompt start adds this part of the even share, a queued one takes this part of the share. */
     private static final double GROW = 0.25;
     private static final double SHRINK = 0.2;
@@ -49,6 +49,8 @@
     private static final double SHARES_IN_SLOT = 4;
     /** Standard deviations of chance kept below a cold worker's limit. */
     private static final double COLD_SIGMAS = 3;
+    /** A drawn job stands for this part of the window in which a cold worker can be pushed over. */
+    private static final double TOKEN = 0.25;
     /** A tenant's use of its share is seen over two seconds; so much may come at once, or three jobs. */
     private static final double USAGE_MEMORY = 2e6;
     private static final double BURST = 3;
@@ -163,16 +165,16 @@
     /** Offers a job to the market: true if a worker with quota took it. */
     private boolean offer(Job job, long now) {
         Good good = job.good;
-        long crossing = settings.crossZonePrice() > 0 ? HOME * period : 0;
+        // Where a crossing has a price, only own workers are asked in the first period.
+        boolean home = settings.crossZonePrice() > 0 && now - job.arrived < period;
         double most = job.worthAt(now) < good.of.worth() ? job.worthAt(now) : Double.MAX_VALUE;
         // Danger: worthless jobs fill the slots that worthy ones need; they buy only where prices are low.
         Seller best = null;
         double shortest = 0;
         for (Seller s : sellers) {
-            if (!s.owed && s.worker.zone() != settings.zone() && now - job.arrived < crossing) {
-                continue;
-            }
-            if (!able(s, job, now) || reportsFull(s, job, now) || s.price[good.index] > most) {
+            boolean crosses = s.worker.zone() != settings.zone();
+            if (crosses && home && !s.owed || !able(s, job, now) || reportsFull(s, job, now)
+                || s.price[good.index] > most) {
                 continue;
             }
             if (s.quota[good.index] <= 0) {
@@ -182,8 +184,8 @@
                 }
             }
             // Danger: a worker that fails what it starts has short queues, and would draw job after job.
-            double run = (runAt(s, job) + wait(s, job)) * (1 + s.errors)
-                * (s.worker.zone() == settings.zone() ? 1 : 1 + CROSSING * settings.crossZonePrice());
+            double run = (runAt(s, job) + wait(s, job, now)) * (1 + s.errors)
+                + (crosses ? CROSSING * settings.crossZonePrice() * good.inTime() : 0);
             if (s.owed && job.effect == Effect.SAFE) {
                 run = 0;
             }
@@ -212,14 +214,15 @@
     }
 
     /**
-     * How long a job is likely to wait there for room, by what reports tell of others' jobs and by own jobs
-     * out there. Danger: many dispatchers see few jobs each, too few for shares to tell of a queue in time;
-     * by run time alone all of them fill the quickest workers and leave the others idle.
+     * How long a job is likely to wait there, by what reports tell of others' jobs, by own jobs out there and
+     * by how long the last one waited. Danger: of many dispatchers each sees too few jobs for shares to tell
+     * of a queue in time; by run time alone all would fill the quickest workers and leave the others idle.
      */
-    private double wait(Seller s, Job job) {
-        double slots = ledger.slots(s);
+    private double wait(Seller s, Job job, long now) {
+        double slots = ledger.slots(s) * warmth(s, now);
         double beyond = job.slots + s.busy + s.out - slots;
-        return hold * s.pace / slots * (beyond + Math.sqrt(beyond * beyond + UNSURE * slots)) / 2;
+        return hold * s.pace / slots * (beyond + Math.sqrt(beyond * beyond + UNSURE * slots)) / 2
+            + s.waited * Math.exp((s.waitedAt - now) / WAIT_MEMORY);
     }
 
     private double runAt(Seller s, Job job) {
@@ -257,7 +260,14 @@
     }
 
     private boolean cold(Seller s, long now) {
-        return s.worker.startedAt() > 0 && now - s.worker.startedAt() < settings.cold().warmUp();
+        return warmth(s, now) < 1;
+    }
+
+    /** The part of its capacity that a worker has at least, warming as slowly as is allowed. */
+    private double warmth(Seller s, long now) {
+        Cold of = settings.cold();
+        double age = s.worker.startedAt() > 0 ? now - s.worker.startedAt() : of.warmUp();
+        return age < of.warmUp() ? of.from() + (1 - of.from()) * age / of.warmUp() : 1;
     }
 
     /** No room by its report, less what was sent since; believed for as long as a slot takes to free. */
@@ -268,14 +278,10 @@
 
     private boolean able(Seller s, Job job, long now) {
         JobClass of = job.good.of;
-        if (s.state != WorkerState.READY || of.machineKind() >= 0 && s.worker.kind() != of.machineKind()) {
+        if (s.state != WorkerState.READY || of.machineKind() >= 0 && s.worker.kind() != of.machineKind()
+            || job.wasSentTo(s)) {
             return false;
         }
-        for (int i = 0; i < job.attempts.size(); i++) {
-            if (job.attempts.get(i).seller == s) {
-                return false;
-            }
-        }
         // Danger: a repeat of a keyed job is dropped only by its group, and only for so long.
         Attempt first = job.mayHaveRun();
         return job.effect == Effect.SAFE || first == null || job.effect == Effect.KEYED
@@ -397,6 +403,8 @@
             Attempt a = open.get(i);
             if (a.startedAt == 0 && now - a.sentAt > patience(a)) {
                 a.seller.queueing = true;
+                a.seller.waited = Math.max(a.seller.waited, now - a.sentAt);
+                a.seller.waitedAt = now;
                 queued(a);
             }
         }
@@ -450,6 +458,9 @@
 
     /** Ends a period, in which leftover lowered the price, and opens the quotas of the next. */
     private void supply(Seller s, long now) {
+        if (now < s.lapses && takesJobs(s, now) && !s.soldOut()) {
+            return;
+        }
         double fresh = s.share * period;
         double need = 0;
         for (Good g : goods) {
@@ -530,15 +541,15 @@
      */
     private void supplyCold(Seller s, long now) {
         Cold cold = settings.cold();
-        double warm = cold.from() + (1 - cold.from()) * (now - s.worker.startedAt()) / cold.warmUp();
-        double capacity = warm * ledger.slots(s) * cold.fallWindow();
+        double capacity = warmth(s, now) * ledger.slots(s) * cold.fallWindow();
         turn++;
         Good g = dearest(s);
         double cost = g == null ? capacity : s.cost(g);
         double root = (Math.sqrt(COLD_SIGMAS * COLD_SIGMAS * cost + 4 * cold.fallMultiple() * capacity)
             - COLD_SIGMAS * Math.sqrt(cost)) / 2;
-        double jobsInWindow = Math.min(root * root, capacity) / cost / settings.dispatchers();
+        double jobsInWindow = Math.min(root * root / (1 + TOKEN), capacity) / cost / settings.dispatchers();
         boolean drawn = g != null && random.nextDouble() < jobsInWindow * period / cold.fallWindow();
+        s.lapses = drawn ? now + (long) (TOKEN * cold.fallWindow()) : 0;
         for (Good other : goods) {
             s.quota[other.index] = drawn && other.requests > 0 && other.cost() <= g.cost() ? 1 : 0;
         }
@@ -555,10 +566,12 @@
         }
         a.startedAt = now;
         Seller s = a.seller;
-        heard(s, now);
+        s.heard(now);
         s.running += a.job.slots;
         ledger.slotsSeen(s, s.running);
         s.reach = Math.min(s.reach, now - a.sentAt);
+        s.waited = now - a.sentAt > patience(a) ? now - a.sentAt : 0;
+        s.waitedAt = now;
         judge(a, now);
     }
 
@@ -587,11 +600,6 @@
         }
     }
 
-    private void heard(Seller s, long now) {
-        s.failures = 0;
-        s.barredUntil = s.errors > 0 ? s.barredUntil : now;
-    }
-
     @Override
     public void ended(long now, long request, int attempt, Outcome outcome, boolean over, double freeSlots,
                       double freeMemory) {
@@ -641,7 +649,7 @@
         Seller s = a.seller;
         Good g = a.job.good;
         s.errors /= 2;
-        heard(s, now);
+        s.heard(now);
         double run = now - (a.startedAt > 0 ? a.startedAt : a.sentAt);
         if (!settings.startNotices()) {
             judge(a, now);
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -191,6 +191,11 @@
             run = of.aim();
         }
 
+        /** How long a job of the mean run time may take for its full worth, microseconds. */
+        double inTime() {
+            return of.aim() + of.stretch() * run;
+        }
+
         /** Slot-seconds (in microseconds) of a job at average speed. */
         double cost() {
             return run * slots;
@@ -220,12 +225,17 @@
         double busy;
         /** An own job waits there to start. */
         boolean queueing;
+        /** How long the last own job waited there to start, and when that was known. */
+        double waited;
+        long waitedAt;
         int failures;
         /** It was put back to work and has had no job since. */
         boolean owed;
         /** Jobs that failed there of late, after their start or not; a served one halves it. */
         int errors;
         long barredUntil;
+        /** Until then a quota drawn for a cold worker stands. */
+        long lapses;
         /** The shortest time that a start notice took. */
         long reach;
         double freeSlots;
@@ -256,6 +266,21 @@
             }
         }
 
+        /** It gave a sign of life; what it failed at counts on. */
+        void heard(long now) {
+            failures = 0;
+            barredUntil = errors > 0 ? barredUntil : now;
+        }
+
+        boolean soldOut() {
+            for (int left : quota) {
+                if (left > 0) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
         void closeQuotas() {
             Arrays.fill(quota, 0);
         }
@@ -301,6 +326,15 @@
             return now <= bestBy ? worth : worth * good.of.lateShare();
         }
 
+        boolean wasSentTo(Seller seller) {
+            for (int i = 0; i < attempts.size(); i++) {
+                if (attempts.get(i).seller == seller) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** The first attempt that may have run, one still out among them; null where none may. */
         Attempt mayHaveRun() {
             for (int i = 0; i < attempts.size(); i++) {
--- a/src/main/java/gorserill/program/Fleet.java
+++ b/src/main/java/gorserill/program/Fleet.java
@@ -56,6 +56,9 @@
         }
         List<Worker> entries = new ArrayList<>();
         Map<Long, HttpWorker> ports = new HashMap<>();
+        int young = 0;
+        int terminating = 0;
+        int terminated = 0;
         for (Listing.Entry entry : listing.entries()) {
             InetSocketAddress address = NodeConfig.addressOrNull(entry.address());
             if (address == null) {
@@ -69,9 +72,17 @@
             worker.moveTo(address);
             WorkerState state = state(entry);
             if (state != WorkerState.READY) {
-                LOG.log(Level.INFO, "worker {0} is {1}", new Object[] {entry.name(), entry.status()});
+                LOG.log(Level.FINE, "worker {0} is {1}", new Object[] {entry.name(), entry.status()});
                 worker.closeIdle();
             }
+            Listing.Entry before = listed.get(entry.name());
+            if (state == WorkerState.READY && entry.since() > 0
+                && (before == null || before.since() != entry.since())) {
+                LOG.log(Level.FINE, "worker {0} started at {1}", new Object[] {entry.name(), entry.since()});
+                young++;
+            }
+            terminating += state == WorkerState.DRAINING ? 1 : 0;
+            terminated += state == WorkerState.GONE ? 1 : 0;
             if (state == WorkerState.GONE) {
                 listed.remove(entry.name());
             } else {
@@ -82,6 +93,11 @@
         }
         core.listed(kind, entries, ports);
         recall();
+        if (!entries.isEmpty()) {
+            LOG.log(Level.INFO, "list {0}: {1} workers, {2} of {3} told: {4} started, {5} terminating, "
+                + "{6} terminated", new Object[] {listing.index(), listed.size(), entries.size(),
+                    kind == ListKind.CHANGES ? "changes" : "all", young, terminating, terminated});
+        }
     }
 
     /** What is listed at present, with the core's numbers. */
@@ -161,7 +177,7 @@
         listing.entries().forEach(entry -> named.add(entry.name()));
         numbers.forEach((name, id) -> {
             if (!named.contains(name) && listed.remove(name) != null) {
-                LOG.log(Level.INFO, "worker {0} is no longer listed", name);
+                LOG.log(Level.FINE, "worker {0} is no longer listed", name);
                 workers.get(id).closeIdle();
             }
         });
--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -59,6 +59,11 @@
         this.address = address;
     }
 
+    @Override
+    public String toString() {
+        return name;
+    }
+
     /** The worker is to be found elsewhere from now on. */
     public void moveTo(InetSocketAddress to) {
         if (!to.equals(address)) {
--- a/src/main/java/gorserill/routing/Attempt.java
+++ b/src/main/java/gorserill/routing/Attempt.java
@@ -10,6 +10,9 @@
     final Core core;
     long handle;
     boolean started;
+    /** For the log; microseconds of the loop's clock. */
+    long sentAt;
+    long startedAt;
     /** Its outcome proved that the job never ran. */
     boolean neverRan;
 
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -86,6 +86,7 @@
         long expires = Math.min(answerBy, ask.arrived() + ask.timeLeft());
         JobClass of = settings.classes().get(work.jobClass());
         Request request = new Request(front, work, expires, of);
+        request.takenAt = now;
         request.handle = requests.add(request);
         open++;
         openIds.add(work.id());
@@ -196,6 +197,7 @@
     void started(Attempt attempt) {
         if (attempts.get(attempt.handle) != null && !attempt.started) {
             attempt.started = true;
+            attempt.startedAt = now();
             module.started(now(), attempt.request.handle, attempt.number);
         }
     }
@@ -205,6 +207,9 @@
             return;
         }
         Request request = attempt.request;
+        if (LOG.isLoggable(Level.FINE)) {
+            tellAttempt(attempt, outcome);
+        }
         request.out--;
         attempt.neverRan |= outcome.neverRan;
         // The answer goes out before the module learns of it: it waits for nobody's bookkeeping.
@@ -225,6 +230,17 @@
         release(request);
     }
 
+    /** What staff count to see where a fleet's time goes: one line an attempt, milliseconds. */
+    private void tellAttempt(Attempt attempt, Outcome outcome) {
+        Request request = attempt.request;
+        long now = now();
+        long start = attempt.startedAt > 0 ? attempt.startedAt : now;
+        LOG.log(Level.FINE, "attempt {0} class {1} no {2} at {3}: {4} held {5} waited {6} ran {7} left {8}",
+            new Object[] {request.work.id(), request.work.jobClass(), attempt.number, attempt.port, outcome,
+                (attempt.sentAt - request.takenAt) / 1_000, (start - attempt.sentAt) / 1_000,
+                (now - start) / 1_000, (request.expires - now) / 1_000});
+    }
+
     /**
      * Danger: tried again, what no worker can use would be held against one after the other. It is over, and
      * the module hears of it as of an attempt that it took back.
@@ -310,6 +326,7 @@
             loop.execute(() -> ended(attempt, Outcome.NOT_SENT, null, Load.NONE));
             return;
         }
+        attempt.sentAt = now();
         attempt.port.start(attempt, request.work, request.expires);
     }
 
--- a/src/main/java/gorserill/routing/Request.java
+++ b/src/main/java/gorserill/routing/Request.java
@@ -15,6 +15,8 @@
     final Effect effect;
     final List<Attempt> attempts = new ArrayList<>(1);
     long handle;
+    /** Microseconds of the loop's clock. */
+    long takenAt;
     Deadline deadline;
     /** Its final answer is given, or nobody waits for one. */
     boolean over;
--- /dev/null
+++ b/src/test/java/barrowflow/FleetModel.java
@@ -0,0 +1,186 @@
+package barrowflow;
+
+import barrowflow.Dispatcher.ListKind;
+import barrowflow.Dispatcher.Outcome;
+import barrowflow.Dispatcher.Settings;
+import barrowflow.Dispatcher.Worker;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/**
+ * Many dispatchers over many workers on a virtual clock: what one alone does not show. Workers have slots and
+ * serve in order; a cold one has a part of its slots' speed. The same seed gives the same run.
+ */
+final class FleetModel {
+    /** A worker's true figures: the dispatchers learn of them by their jobs alone. */
+    static final class Machine {
+        final Worker worker;
+        final int slots;
+        final double speed;
+        final Deque<Run> queue = new ArrayDeque<>();
+        final List<long[]> arrivals = new ArrayList<>();
+        int running;
+        double busyTime;
+        int served;
+
+        Machine(Worker worker, int slots, double speed) {
+            this.worker = worker;
+            this.slots = slots;
+            this.speed = speed;
+        }
+    }
+
+    record Run(Node node, long request, int attempt, long work, Machine at) { }
+
+    private record Event(long at, long order, Runnable what) { }
+
+    /** Its actions take effect at once, its jobs reach workers after the way there. */
+    final class Node implements Dispatcher.Actions {
+        final Choice module;
+        final Map<Long, Long> work = new HashMap<>();
+        final Map<Long, Integer> attempts = new HashMap<>();
+        final Map<Long, Long> arrived = new HashMap<>();
+        int watches;
+
+        Node(Settings settings, long seed) {
+            module = new Choice(settings, seed, now, this);
+        }
+
+        @Override
+        public void send(long request, long worker) {
+            int attempt = attempts.merge(request, 1, Integer::sum) - 1;
+            Machine m = machines.get(worker);
+            Run run = new Run(this, request, attempt, work.get(request), m);
+            at(now + WAY, () -> {
+                m.arrivals.add(new long[] {now, run.work});
+                m.queue.add(run);
+                begin(m);
+            });
+        }
+
+        @Override
+        public void cancel(long request, int attempt) { }
+
+        @Override
+        public void refuse(long request, long wait) {
+            refused++;
+        }
+
+        @Override
+        public void fail(long request) {
+            failed++;
+        }
+
+        @Override
+        public void timerAt(long time) {
+            FleetModel.this.at(time, () -> module.timer(now));
+        }
+
+        @Override
+        public void watchList() {
+            watches++;
+        }
+    }
+
+    private static final long WAY = 1_000;
+
+    final Map<Long, Machine> machines = new HashMap<>();
+    final List<Node> nodes = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
+        a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final SplittableRandom random;
+    private Settings settings;
+    private long order;
+    private long nextId;
+    long now = 100_000_000;
+    int offered;
+    int prompt;
+    int refused;
+    int failed;
+
+    FleetModel(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    FleetModel machine(Worker worker, int slots, double speed) {
+        machines.put(worker.id(), new Machine(worker, slots, speed));
+        return this;
+    }
+
+    /** Dispatchers that hear of all the workers at once. */
+    FleetModel nodes(int count, Settings settings) {
+        this.settings = settings;
+        for (int i = 0; i < count; i++) {
+            Node node = new Node(settings, random.nextLong());
+            nodes.add(node);
+            node.module.workers(now, ListKind.WHOLE, machines.values().stream().map(m -> m.worker).toList());
+        }
+        return this;
+    }
+
+    void at(long time, Runnable what) {
+        events.add(new Event(Math.max(time, now), order++, what));
+    }
+
+    /** Jobs of a class come to all nodes together, as many a second, with that work on average. */
+    void traffic(int jobClass, double perSecond, long work, long span) {
+        double gap = 1e6 / perSecond;
+        for (double t = gap * random.nextDouble(); t < span; t += -gap * Math.log(1 - random.nextDouble())) {
+            Node node = nodes.get(random.nextInt(nodes.size()));
+            long its = Math.max(1_000, (long) (work * (0.5 + random.nextDouble())));
+            at(now + (long) t, () -> {
+                long id = nextId++;
+                offered++;
+                node.work.put(id, its);
+                node.arrived.put(id, now);
+                node.module.request(now, id, jobClass, 0, 0, 5_000_000, 1, 0);
+            });
+        }
+    }
+
+    void run(long span) {
+        long end = now + span;
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event next = events.poll();
+            now = next.at;
+            next.what.run();
+        }
+        now = end;
+    }
+
+    /** The part of its speed that a machine has now. */
+    static double warmth(Worker worker, long now, Settings settings) {
+        long since = worker.startedAt();
+        double from = settings.cold().from();
+        return since == 0 || now - since >= settings.cold().warmUp() ? 1
+            : from + (1 - from) * (now - since) / settings.cold().warmUp();
+    }
+
+    private void begin(Machine m) {
+        while (m.running < m.slots && !m.queue.isEmpty()) {
+            Run run = m.queue.poll();
+            m.running++;
+            double cores = m.slots * warmth(m.worker, now, settings);
+            long takes = (long) (run.work / m.speed / Math.min(1, cores / m.running));
+            at(now + WAY, () -> run.node.module.started(now, run.request, run.attempt));
+            at(now + takes, () -> {
+                m.running--;
+                m.busyTime += takes;
+                m.served++;
+                double free = m.slots - m.running;
+                begin(m);
+                at(now + WAY, () -> {
+                    long took = now - run.node.arrived.get(run.request);
+                    prompt += took < run.work * 2 + 100_000 ? 1 : 0;
+                    run.node.module.ended(now, run.request, run.attempt, Outcome.SERVED, true, free, free);
+                });
+            });
+        }
+    }
+}
