Second copies of jobs that wait, and a list watch that a large fleet can afford

Causes, counted over all nodes. (2) A node learns of a queue only from a job that stands in it: 71 % of the jobs at warm workers waited over 200 ms, those at cold ones 20 ms (Choice.watchAttempts only barred the worker). (3) Jobs and copies were given up after half the aim, 30 ms for estado, whose run leaves 250 ms. (4) Cold workers were drawn for the dearest good alone, nearly always estado, at half of what the rule allows.

Change: CallPace, free of I/O, decides from the number of nodes and the known list whether a start asks for the whole list or for what is new, and how long, with jitter, waits are; a dead worker is barred for 32 periods and doubling; a job that does not start promptly gets one copy elsewhere where class, zone and settings allow, the first to start goes on and the other is called off; the latest start is half of what the run leaves; cold workers are drawn for goods as they are asked for, up to twice their slowest capacity under the same 3-sigma bound.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -54,6 +54,8 @@
     /** A tenant's use of its share is seen over two seconds; so much may come at once, or three jobs. */
     private static final double USAGE_MEMORY = 2e6;
     private static final double BURST = 3;
+    /** Danger: a worker that is not there uses up the attempts of job after job; it is barred for longer. */
+    private static final int GONE = 32;
     /** A bar doubles up to so often. */
     private static final int MAX_DOUBLINGS = 6;
     /** Danger: what discovery has to tell counts as told after some seconds; waits for it stay below 2 s. */
@@ -75,6 +77,7 @@
     private final double[] usage;
     private double fetch;
     private double hold;
+    private Good lastAsked;
     private double part = 1;
     private long nextPeriod;
     private long askListAt = Long.MAX_VALUE;
@@ -119,12 +122,13 @@
         }
         double taken = Math.max(1, Math.max(slots, memory));
         Good good = goods[jobClass * WIDTHS + (taken <= 1 ? 0 : taken <= 2 ? 1 : taken <= 4 ? 2 : 3)];
+        lastAsked = good;
         good.slots += (taken - good.slots) / Math.min(RUN_MEMORY, ++good.requests);
         longestTry[jobClass] = Math.max(longestTry[jobClass], timeLeft);
         long age = timeLeft < longestTry[jobClass] ? Math.max(0, good.of.deadline() - timeLeft) : 0;
         boolean overShare = !withinShare(tenant, age);
         double worth = good.of.worth() * (overShare ? settings.overShareWorth() : 1);
-        Job job = new Job(id, now, good, key, taken, memory, worth, overShare, now - age + good.of.aim() / 2,
+        Job job = new Job(id, now, good, key, taken, memory, worth, overShare, now - age + good.startBy(),
             now + timeLeft, atLeast);
         ledger.jobs.put(id, job);
         ledger.keySeen(key);
@@ -145,12 +149,11 @@
     }
 
     /**
-     * Refills allowances by this dispatcher's part of the shares: an even part, or more where most tenants
-     * send more through it. Danger: clients are not spread alike, and a dispatcher that sees much of the
-     * traffic would take honest tenants for greedy. The median one is held to use four fifths of its share.
+     * Refills allowances by this dispatcher's part of the shares: even, or more where most tenants send more
+     * through it. Danger: clients are not spread alike, and who sees much of the traffic would take honest
+     * tenants for greedy. The median one is held to use four fifths of its share.
      */
     private void refill() {
-        double memory = Math.exp(-period / USAGE_MEMORY);
         double[] sorted = usage.clone();
         Arrays.sort(sorted);
         double median = sorted.length < 3 ? 0 : sorted[(sorted.length - 1) / 2] * 1e6 / USAGE_MEMORY;
@@ -158,7 +161,7 @@
         for (int t = 0; t < allowance.length; t++) {
             double rate = settings.tenants().get(t).jobsPerSecond() * mine / 1e6;
             allowance[t] = Math.min(Math.max(BURST, rate * USAGE_MEMORY), allowance[t] + rate * period);
-            usage[t] *= memory;
+            usage[t] *= Math.exp(-period / USAGE_MEMORY);
         }
     }
 
@@ -179,7 +182,9 @@
             }
             if (s.quota[good.index] <= 0) {
                 raise(s, good, 1 + LAMBDA);
-                if (!lends(s, job, now)) {
+                // Danger: shares are parts of a slot: who keeps a key seldom has quota; it sells on credit.
+                if (job.key == 0 || s.samples == 0 || !takesJobs(s, now) || cold(s, now)
+                    || s.credit < -s.cost(good) || miss(s, job.key) > 0.5) {
                     continue;
                 }
             }
@@ -205,12 +210,8 @@
      * by the same hash, so the first in that order keep it; one in demand is kept by as many as it busies.
      */
     private double miss(Seller s, long key) {
-        if (key == 0) {
-            return 0;
-        }
         double place = (Ledger.mix(Ledger.mix(key) ^ s.worker.id()) >>> 11) * 0x1p-53 * sellers.size();
-        double busy = ledger.partOfKey(key) * sellers.size();
-        return Math.min(1, place / (2 + 2 * busy));
+        return key == 0 ? 0 : Math.min(1, place / (2 + 2 * ledger.partOfKey(key) * sellers.size()));
     }
 
     /**
@@ -229,12 +230,6 @@
         return job.good.run * s.pace + fetch * miss(s, job.key);
     }
 
-    /** Danger: shares are parts of a slot, so who keeps a key seldom has quota; it sells on credit. */
-    private boolean lends(Seller s, Job job, long now) {
-        return job.key != 0 && s.samples > 0 && takesJobs(s, now) && !cold(s, now)
-            && s.credit >= -s.cost(job.good) && miss(s, job.key) <= 0.5;
-    }
-
     private double even(Seller s) {
         return ledger.slots(s) / settings.dispatchers() / part;
     }
@@ -394,7 +389,11 @@
         }
     }
 
-    /** Finds where an own job waits. Danger: a worker gone silent or slow would draw one after another. */
+    /**
+     * Finds where an own job waits, and offers a copy where its class bears one, of which the first to start
+     * goes on: with few jobs a worker nobody knows of a queue before one stands in it. Danger: a worker gone
+     * silent or slow would draw one after another.
+     */
     private void watchAttempts(long now) {
         for (Seller s : sellers) {
             s.queueing = false;
@@ -406,6 +405,11 @@
                 a.seller.waited = Math.max(a.seller.waited, now - a.sentAt);
                 a.seller.waitedAt = now;
                 queued(a);
+                Job job = a.job;
+                if (settings.secondCopies() && job.out == 1 && !job.over
+                    && now <= job.bestBy && job.attempts.size() + 1 < settings.maxAttempts()) {
+                    offer(job, now);
+                }
             }
         }
     }
@@ -422,7 +426,7 @@
 
     /**
      * Average speed stays 1, as an unlearned worker is counted. Danger: shares too small for a job teach
-     * nothing, so few workers are traded with; but all of them if none of the few can take a job.
+     * nothing, so few workers are traded with; all of them if none of the few can take a job.
      */
     private void centrePaces(long now) {
         double paces = 0;
@@ -432,13 +436,6 @@
             slots += ledger.slots(s);
         }
         double mean = sellers.isEmpty() ? 1 : paces / sellers.size();
-        double cost = 0;
-        double seen = 1e-9;
-        for (Good g : goods) {
-            cost += g.requests * g.cost();
-            seen += g.requests;
-        }
-        hold = cost / seen;
         part = Math.min(1, SHARES_IN_SLOT * slots / sellers.size() / settings.dispatchers());
         boolean stranded = true;
         for (Seller s : sellers) {
@@ -449,11 +446,12 @@
         for (Good g : goods) {
             g.run *= g.runs > 0 ? mean : 1;
         }
+        hold = ledger.meanCost(goods);
     }
 
     private void raise(Seller s, Good g, double factor) {
-        double worth = g.of.worth();
-        s.price[g.index] = Math.max(worth * floor, Math.min(worth * PRICE_SPAN, s.price[g.index] * factor));
+        double price = s.price[g.index] * factor / g.of.worth();
+        s.price[g.index] = g.of.worth() * Math.max(floor, Math.min(PRICE_SPAN, price));
     }
 
     /** Ends a period, in which leftover lowered the price, and opens the quotas of the next. */
@@ -469,8 +467,8 @@
                 raise(s, g, Math.max(0, 1 - LAMBDA * s.quota[g.index]));
             }
         }
-        double carried = need > fresh ? s.credit : Math.min(0, s.credit);
-        s.credit = Math.max(-need, Math.min(Math.max(fresh, need), carried + fresh));
+        s.credit = (need > fresh ? s.credit : Math.min(0, s.credit)) + fresh;
+        s.credit = Math.max(-need, Math.min(Math.max(fresh, need), s.credit));
         s.closeQuotas();
         boolean trades = takesJobs(s, now) && (s.owed || s.tie <= part);
         if (trades && cold(s, now)) {
@@ -491,10 +489,9 @@
         Cold cold = settings.cold();
         double bearable = cold.from() * ledger.slots(s) * cold.fallWindow() * cold.fallMultiple() / 2;
         for (Good g : goods) {
-            if (g.requests > 0 && g.of.effect() == Effect.SAFE
-                && settings.dispatchers() * s.cost(g) <= bearable) {
-                s.quota[g.index] = Math.max(1, s.quota[g.index]);
-            }
+            boolean bears = settings.dispatchers() * s.cost(g) <= bearable;
+            boolean due = bears && g.requests > 0 && g.of.effect() == Effect.SAFE;
+            s.quota[g.index] = Math.max(due ? 1 : 0, s.quota[g.index]);
         }
     }
 
@@ -536,19 +533,18 @@
 
     /**
      * Danger: dispatchers that each save up a job for a cold worker send them together and push it over. So
-     * its quota is drawn by lot, a job at a time, at a rate that keeps the sum of all dispatchers under its
-     * limit by some standard deviations, taking the slowest warming that is allowed.
+     * its quota is drawn by lot, a job at a time, at a rate that keeps the sum of all under its limit by some
+     * standard deviations, at the slowest warming allowed. A good is drawn as often as it is asked for.
      */
     private void supplyCold(Seller s, long now) {
         Cold cold = settings.cold();
         double capacity = warmth(s, now) * ledger.slots(s) * cold.fallWindow();
-        turn++;
-        Good g = dearest(s);
+        Good g = lastAsked;
         double cost = g == null ? capacity : s.cost(g);
         double root = (Math.sqrt(COLD_SIGMAS * COLD_SIGMAS * cost + 4 * cold.fallMultiple() * capacity)
             - COLD_SIGMAS * Math.sqrt(cost)) / 2;
-        double jobsInWindow = Math.min(root * root / (1 + TOKEN), capacity) / cost / settings.dispatchers();
-        boolean drawn = g != null && random.nextDouble() < jobsInWindow * period / cold.fallWindow();
+        double jobs = Math.min(root * root / (1 + TOKEN), 2 * capacity) / cost / settings.dispatchers();
+        boolean drawn = g != null && random.nextDouble() < jobs * period / cold.fallWindow();
         s.lapses = drawn ? now + (long) (TOKEN * cold.fallWindow()) : 0;
         for (Good other : goods) {
             s.quota[other.index] = drawn && other.requests > 0 && other.cost() <= g.cost() ? 1 : 0;
@@ -573,6 +569,10 @@
         s.waited = now - a.sentAt > patience(a) ? now - a.sentAt : 0;
         s.waitedAt = now;
         judge(a, now);
+        int copy = a.job.otherCopy(a);
+        if (copy >= 0) {
+            out.cancel(request, a.job.attempts.get(copy).startedAt > 0 ? attempt : copy);
+        }
     }
 
     @Override
@@ -634,6 +634,7 @@
                 s.errors++;
                 bar(s, now, period);
             }
+            case CONNECT_FAILED -> bar(s, now, GONE * period);
             case NOT_SENT, CANCELLED -> { }
             default -> bar(s, now, period);
         }
@@ -660,8 +661,8 @@
         s.samples++;
         fetch = Math.max(0, fetch + a.miss * (run - g.run * s.pace - fetch * a.miss) / RUN_MEMORY);
         run = Math.max(MIN_RUN, run - fetch * a.miss);
-        double weight = 1 / Math.min(RUN_MEMORY, ++g.runs);
-        g.run = Math.max(MIN_RUN, g.run + weight * (run - g.run * s.pace) / Math.max(1, s.pace));
+        double learned = (run - g.run * s.pace) / Math.max(1, s.pace) / Math.min(RUN_MEMORY, ++g.runs);
+        g.run = Math.max(MIN_RUN, g.run + learned);
         s.pace += (run / g.run - s.pace) / Math.min(PACE_MEMORY, s.samples + 1);
     }
 
--- a/src/main/java/barrowflow/Dispatcher.java
+++ b/src/main/java/barrowflow/Dispatcher.java
@@ -62,10 +62,23 @@
      */
     record Cold(double from, long warmUp, double fallMultiple, long fallWindow) { }
 
-    /** All that the module is told at its start; {@code dispatchers} push to the same workers. */
+    /**
+     * All that the module is told at its start; {@code dispatchers} push to the same workers. With {@code
+     * secondCopies} a job that may run twice can have two attempts out at once.
+     */
     record Settings(int dispatchers, int zone, List<JobClass> classes, List<Tenant> tenants,
                     double overShareWorth, Cold cold, int maxAttempts, boolean mayCancel, long maxRetryAfter,
-                    boolean listOnRequest, boolean startNotices, double crossZonePrice) {
+                    boolean listOnRequest, boolean startNotices, double crossZonePrice,
+                    boolean secondCopies) {
+        /** The same where no second copy may be sent while the first is out. */
+        public Settings(int dispatchers, int zone, List<JobClass> classes, List<Tenant> tenants,
+                        double overShareWorth, Cold cold, int maxAttempts, boolean mayCancel,
+                        long maxRetryAfter, boolean listOnRequest, boolean startNotices,
+                        double crossZonePrice) {
+            this(dispatchers, zone, classes, tenants, overShareWorth, cold, maxAttempts, mayCancel,
+                maxRetryAfter, listOnRequest, startNotices, crossZonePrice, false);
+        }
+
         public Settings {
             if (dispatchers < 1 || maxAttempts < 1 || classes.isEmpty()) {
                 throw new IllegalArgumentException("settings need a dispatcher, an attempt and a class");
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -157,6 +157,17 @@
         return (double) keySeen[(int) (mix(key) & KEYS - 1)] / Math.max(1, keysSeen);
     }
 
+    /** Slot-seconds (in microseconds) of the average job so far at average speed. */
+    double meanCost(Good[] goods) {
+        double cost = 0;
+        double requests = 0;
+        for (Good g : goods) {
+            cost += g.requests * g.cost();
+            requests += g.requests;
+        }
+        return cost / Math.max(1, requests);
+    }
+
     /** A well-mixed hash of a number, the same in every process. */
     static long mix(long z) {
         z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
@@ -191,6 +202,11 @@
             run = of.aim();
         }
 
+        /** How long after its arrival a job is started, half of what its run time leaves; microseconds. */
+        long startBy() {
+            return (long) (of.aim() + Math.max(0, of.stretch() - 1) * run) / 2;
+        }
+
         /** How long a job of the mean run time may take for its full worth, microseconds. */
         double inTime() {
             return of.aim() + of.stretch() * run;
@@ -326,6 +342,16 @@
             return now <= bestBy ? worth : worth * good.of.lateShare();
         }
 
+        /** The number of the other attempt that is still out, or -1. */
+        int otherCopy(Attempt than) {
+            for (int i = 0; i < attempts.size(); i++) {
+                if (attempts.get(i) != than && !attempts.get(i).ended) {
+                    return i;
+                }
+            }
+            return -1;
+        }
+
         boolean wasSentTo(Seller seller) {
             for (int i = 0; i < attempts.size(); i++) {
                 if (attempts.get(i).seller == seller) {
--- a/src/main/java/barrowflow/adapter/SettingsParser.java
+++ b/src/main/java/barrowflow/adapter/SettingsParser.java
@@ -44,7 +44,7 @@
             (int) number("caps.max_attempts", null), flag("caps.may_cancel"),
             flag("caps.retry_after") ? (long) number("caps.max_retry_after_us", 0.0) : 0,
             word("registry_mode", "pushed").equals("on_request"), flag("domain.tells_start"),
-            number("prices.cross_zone", 0.0));
+            number("prices.cross_zone", 0.0), flag("caps.second_copies") && flag("caps.may_cancel"));
     }
 
     private JobClass jobClass(int c) {
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -9,6 +9,7 @@
 import gorserill.protocol.Gate;
 import gorserill.protocol.admin.AdminFront;
 import gorserill.protocol.admin.LineCodec;
+import gorserill.protocol.discovery.CallPace;
 import gorserill.protocol.discovery.Listing;
 import gorserill.protocol.faktory.FaktoryCodec;
 import gorserill.protocol.faktory.FaktoryFront;
@@ -98,7 +99,11 @@
             config.connectTimeout, config.keepIdle(),
             new Complaints(loop, Logger.getLogger(HttpWorker.class.getName()), "workers' answers"));
         watch = new HttpWatch(loop, transport, transport.chain(HttpCodec.client(loop, MAX_LISTING)),
-            config.discovery, this::heard, this::watchFailed);
+            config.discovery, new CallPace(config.settings.dispatchers(), config.seed), this::heard,
+            this::watchFailed);
+        if (config.known != null) {
+            watch.knows(config.known);
+        }
         core = new Core(loop, config.settings, config.seed, watch::start, siblings);
         Bans bans = new Bans(config.folder, config.name);
         fleet = new Fleet(loop, core, terms, config.zones, config.kinds, bans::has);
