A large fleet's watch from the known list, cut and taken up again, tested on the wire

Need: that a node of a large fleet asks for what is new instead of the whole list was tested in CallPace alone. Fixture can now say how many nodes there are; ProgramTest starts one of 14, serves a job from the list it knew, cuts its watch and sees it taken up with the same index. Without HttpWatch.knows it fails at its second line.

--- a/src/test/java/gorserill/program/Fixture.java
+++ b/src/test/java/gorserill/program/Fixture.java
@@ -42,6 +42,13 @@
         environment.put("GORSERILL_FAKTORY", front.toString());
     }
 
+    /** The node is told that it is one of so many. */
+    Fixture amongNodes(int nodes) throws IOException {
+        Files.writeString(config, Files.readString(config).replace("\"instances\":1,",
+            "\"instances\":" + nodes + ","));
+        return this;
+    }
+
     /** Writes the files, for the first time or anew. */
     void configure(InetSocketAddress discovery, String faktoryFile) {
         try {
--- a/src/test/java/gorserill/program/ProgramTest.java
+++ b/src/test/java/gorserill/program/ProgramTest.java
@@ -161,6 +161,40 @@
         }
     }
 
+    /** Danger: whole lists for a whole large fleet, after each cut call, keep discovery from anybody. */
+    @Test
+    public void aNodeOfALargeFleetAsksForWhatIsNewSinceTheListItKnowsAndAgainAfterACut() throws Exception {
+        try (Scenario scenario = new Scenario()) {
+            Fixture fixture = new Fixture(scenario.standIn("discovery"),
+                Fixture.endpoint("w1", scenario.standIn("w1"), "in_service"), 15_000, "{}").amongNodes(14);
+            scenario.front("clients", fixture.clients);
+            Process program = start(fixture, "serve");
+            try {
+                scenario.call("term", program::destroy);
+                scenario.run("""
+                    A accept discovery
+                    A expect GET /v1/servers\\?index=41&wait=1\\d{4} HTTP/1.1
+                    C connect clients
+                    C send JOB estado a-1 5000 open
+                    W accept w1
+                    W expect open
+                    W send ANSWER
+                    W send LAST {"state":"done","result":"one"}
+                    C expect 200 OK
+                    A close
+                    B accept discovery
+                    B expect GET /v1/servers\\?index=41&wait=1\\d{4} HTTP/1.1
+                    B send LIST {"index":43,"snapshot":false,"endpoints":[]}
+                    B expect index=43&wait=1\\d{4} HTTP/1.1
+                    X call term
+                    """.lines().toList());
+                assertEquals(end(program), 0);
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+    }
+
     private static void signal(Process program, String name) {
         try {
             assertEquals(new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start()
