--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -29,7 +29,7 @@
     private static final double SLACK = 1.5;
     /** A start on a connection that must be opened first takes so many times as long as the quickest one. */
     private static final double OPENING = 3;
-    /** A crossing of zones counts as so many times its price in time: own workers first, unless behind. */
+    /** A crossing of zones counts as so many times its price in time, and is left out for a period. */
     private static final double CROSSING = 3;
     /** Goods of a class: up to 1, 2, 4 and more slots wide. */
     private static final int WIDTHS = 4;
@@ -128,7 +128,8 @@
         long age = timeLeft < longestTry[jobClass] ? Math.max(0, good.of.deadline() - timeLeft) : 0;
         boolean overShare = !withinShare(tenant, age);
         double worth = good.of.worth() * (overShare ? settings.overShareWorth() : 1);
-        Job job = new Job(id, now, good, key, taken, memory, worth, overShare, now - age + good.startBy(),
+        double spare = good.of.aim() + Math.max(0, good.of.stretch() - 1) * good.run;
+        Job job = new Job(id, now, good, key, taken, memory, worth, overShare, now - age + (long) spare / 2,
             now + timeLeft, atLeast);
         ledger.jobs.put(id, job);
         ledger.keySeen(key);
@@ -168,7 +169,6 @@
     /** Offers a job to the market: true if a worker with quota took it. */
     private boolean offer(Job job, long now) {
         Good good = job.good;
-        // Where a crossing has a price, only own workers are asked in the first period.
         boolean home = settings.crossZonePrice() > 0 && now - job.arrived < period;
         double most = job.worthAt(now) < good.of.worth() ? job.worthAt(now) : Double.MAX_VALUE;
         // Danger: worthless jobs fill the slots that worthy ones need; they buy only where prices are low.
@@ -390,9 +390,8 @@
     }
 
     /**
-     * Finds where an own job waits, and offers a copy where its class bears one, of which the first to start
-     * goes on: with few jobs a worker nobody knows of a queue before one stands in it. Danger: a worker gone
-     * silent or slow would draw one after another.
+     * Finds where an own job waits, and offers a copy where its class bears one; the first to start goes on.
+     * Danger: a worker gone silent or slow would draw one after another.
      */
     private void watchAttempts(long now) {
         for (Seller s : sellers) {
@@ -405,10 +404,9 @@
                 a.seller.waited = Math.max(a.seller.waited, now - a.sentAt);
                 a.seller.waitedAt = now;
                 queued(a);
-                Job job = a.job;
-                if (settings.secondCopies() && job.out == 1 && !job.over
-                    && now <= job.bestBy && job.attempts.size() + 1 < settings.maxAttempts()) {
-                    offer(job, now);
+                if (settings.secondCopies() && a.job.out == 1 && !a.job.over && now <= a.job.bestBy
+                    && a.job.attempts.size() + 1 < settings.maxAttempts()) {
+                    offer(a.job, now);
                 }
             }
         }
@@ -562,7 +560,8 @@
         }
         a.startedAt = now;
         Seller s = a.seller;
-        s.heard(now);
+        s.failures = 0;
+        s.barredUntil = s.errors > 0 ? s.barredUntil : now;
         s.running += a.job.slots;
         ledger.slotsSeen(s, s.running);
         s.reach = Math.min(s.reach, now - a.sentAt);
@@ -650,7 +649,8 @@
         Seller s = a.seller;
         Good g = a.job.good;
         s.errors /= 2;
-        s.heard(now);
+        s.failures = 0;
+        s.barredUntil = s.errors > 0 ? s.barredUntil : now;
         double run = now - (a.startedAt > 0 ? a.startedAt : a.sentAt);
         if (!settings.startNotices()) {
             judge(a, now);
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -202,11 +202,6 @@
             run = of.aim();
         }
 
-        /** How long after its arrival a job is started, half of what its run time leaves; microseconds. */
-        long startBy() {
-            return (long) (of.aim() + Math.max(0, of.stretch() - 1) * run) / 2;
-        }
-
         /** How long a job of the mean run time may take for its full worth, microseconds. */
         double inTime() {
             return of.aim() + of.stretch() * run;
@@ -282,12 +277,6 @@
             }
         }
 
-        /** It gave a sign of life; what it failed at counts on. */
-        void heard(long now) {
-            failures = 0;
-            barredUntil = errors > 0 ? barredUntil : now;
-        }
-
         boolean soldOut() {
             for (int left : quota) {
                 if (left > 0) {
