A sibling process that can't be looked at is no longer taken for gone

Seen: Siblings.look opens each other place every 250 ms; where that failed (IOException, as when the process is out of descriptors) the place was left out of the list of those alive. From then on openElsewhere said no for every id open at the other process, and descriptorsElsewhere counted none of its descriptors: a second request of an open id could be taken by both processes, and the budget was overcommitted, until a look succeeded again.

Ruled out: a dead sibling is still told apart by its lock (tryLock succeeds on a dead one's place), so keeping the last view delays nothing there.

At fault: Siblings.look, the catch that dropped the place. Now each place keeps what it showed when last looked at; a place that can't be opened keeps it.

Test: SiblingsTest.aSiblingThatCantBeSeenForAWhileStillCounts puts a folder in the place of the sibling's file: it failed before (the open id was not seen), passes after; the four earlier tests pass as before.

--- a/src/main/java/gorserill/common/Siblings.java
+++ b/src/main/java/gorserill/common/Siblings.java
@@ -34,6 +34,8 @@
     /** Held until the process ends. */
     private FileLock held;
     private volatile List<LongBuffer> others = List.of();
+    /** What each other place showed when it was last looked at; null where nobody holds it. */
+    private final LongBuffer[] seen = new LongBuffer[PLACES];
 
     private Siblings(Loop loop, int descriptorsOfItsOwn) {
         this.loop = loop;
@@ -104,18 +106,22 @@
 
     /** Sees who else runs, again and again. */
     private void look() {
-        List<LongBuffer> alive = new ArrayList<>();
         for (int place = 0; place < places.size(); place++) {
             if (place != mine) {
                 try (FileChannel channel = channel(places.get(place)); FileLock theirs = lock(channel)) {
-                    if (theirs == null) {
-                        alive.add(map(channel));
-                    }
+                    seen[place] = theirs == null ? map(channel) : null;
                 } catch (IOException e) {
-                    // Who can't be seen is held to be gone.
+                    // Danger: a process out of descriptors can't open a place. Taking whoever holds it for
+                    // gone would take ids that are open there; what was seen last holds until it can look.
                 }
             }
         }
+        List<LongBuffer> alive = new ArrayList<>();
+        for (LongBuffer other : seen) {
+            if (other != null) {
+                alive.add(other);
+            }
+        }
         others = List.copyOf(alive);
         loop.at(loop.now() + LOOK_AGAIN, this::look);
     }
--- a/src/test/java/gorserill/common/SiblingsTest.java
+++ b/src/test/java/gorserill/common/SiblingsTest.java
@@ -92,6 +92,31 @@
         assertFalse(second.openElsewhere("a-1"));
     }
 
+    /**
+     * Danger: a process out of descriptors can't open a sibling's place; if it took that sibling for gone it
+     * would take an id that is open there, and a job that must run once could run twice.
+     */
+    @Test
+    public void aSiblingThatCantBeSeenForAWhileStillCounts() throws IOException {
+        Siblings first = join();
+        first.descriptors(5);
+        first.opened("a-1");
+        Siblings second = join();
+        Path place = folder.resolve("node.0");
+        Path away = folder.resolve("node.0.away");
+        Files.move(place, away);
+        Files.createDirectory(place);
+        look();
+        assertTrue(second.openElsewhere("a-1"), "a sibling that can't be seen was taken for gone");
+        assertEquals(second.descriptorsElsewhere(), 5 + OWN);
+        Files.delete(place);
+        Files.move(away, place);
+        first.closed("a-1");
+        look();
+        assertFalse(second.openElsewhere("a-1"));
+        assertFalse(second.alone());
+    }
+
     @Test
     public void thereIsNoFourthPlace() throws IOException {
         for (int i = 0; i < 3; i++) {
