A write of the handover or bans file that fails leaves no temporary file

Seen: Handover.write makes a temporary file beside the handover file each second and moves it in place; when the write or the move failed (a full disk, something in the way) the temporary file stayed. On a disk that is full for a minute that is sixty files, which keep it full after room came back. Bans.set did the same for each operator's call that failed.

Ruled out: the move itself is atomic, so no torn file was ever read; the leftovers are all that was wrong.

At fault: Handover.write and Bans.set, which had no clean-up on failure. Both now delete the temporary file in a finally.

--- a/src/main/java/gorserill/program/Bans.java
+++ b/src/main/java/gorserill/program/Bans.java
@@ -64,8 +64,13 @@
             lines.add("end " + changed.size());
             // Danger: a process killed here must not leave half a file in its place.
             Path fresh = Files.createTempFile(file.getParent(), file.getFileName().toString(), ".new");
-            Files.write(fresh, lines);
-            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
+            try {
+                Files.write(fresh, lines);
+                Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
+            } finally {
+                // A write that failed, on a full disk say, leaves nothing behind.
+                Files.deleteIfExists(fresh);
+            }
             names = changed;
             seen = state();
         }
--- a/src/main/java/gorserill/program/Handover.java
+++ b/src/main/java/gorserill/program/Handover.java
@@ -85,6 +85,16 @@
     private void write() throws IOException {
         Learned learned = core.learned();
         Path fresh = Files.createTempFile(file.getParent(), file.getFileName().toString(), ".new");
+        try {
+            write(fresh, learned);
+            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
+        } finally {
+            // Danger: a disk that is full fails every write; what each left would keep it full for good.
+            Files.deleteIfExists(fresh);
+        }
+    }
+
+    private void write(Path fresh, Learned learned) throws IOException {
         try (JsonGenerator json = JSON.createGenerator(Files.newOutputStream(fresh))) {
             json.writeStartObject();
             json.writeStringField("node", node);
@@ -109,7 +119,6 @@
         } catch (UncheckedIOException e) {
             throw e.getCause();
         }
-        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
     }
 
     private static void numbers(JsonGenerator json, List<Double> numbers) throws IOException {
--- a/src/test/java/gorserill/program/BansTest.java
+++ b/src/test/java/gorserill/program/BansTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.nio.file.DirectoryStream;
@@ -11,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -23,6 +25,28 @@
         folder = Files.createTempDirectory("bans");
     }
 
+    /** Danger: a ban that can't be written, on a full disk say, is told as such and leaves nothing behind. */
+    @Test
+    public void aBanThatCantBeWrittenLeavesNothingAndChangesNothing() throws IOException {
+        Bans first = new Bans(folder, "n1");
+        first.set("s-1", true);
+        Path file = folder.resolve(NodeConfig.fileKey("n1") + ".bans");
+        Files.delete(file);
+        Path inTheWay = Files.createDirectories(file.resolve("in the way"));
+        for (int i = 0; i < 3; i++) {
+            expectThrows(IOException.class, () -> first.set("s-2", true));
+        }
+        assertEquals(first.names(), Set.of("s-1"));
+        try (Stream<Path> all = Files.list(folder)) {
+            assertEquals(all.map(p -> p.getFileName().toString()).sorted().toList(),
+                List.of(file.getFileName() + "", file.getFileName() + ".lock"));
+        }
+        Files.delete(inTheWay);
+        Files.delete(file);
+        first.set("s-2", true);
+        assertEquals(new Bans(folder, "n1").names(), Set.of("s-2"));
+    }
+
     @Test
     public void bansOutlastTheProcessAndEndWithOneCall() throws IOException {
         Bans first = new Bans(folder, "n1");
--- a/src/test/java/gorserill/program/HandoverTest.java
+++ b/src/test/java/gorserill/program/HandoverTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
 
 import barrowflow.Dispatcher.ListKind;
 import gorserill.common.Loop;
@@ -20,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -111,6 +113,33 @@
         next.learned();
     }
 
+    /**
+     * Danger: on a disk that is full every write fails, once a second; what each failed one left would keep
+     * the disk full after room came back.
+     */
+    @Test
+    public void writesThatFailLeaveNothingBehindAndTheFirstThatCanLands() throws IOException {
+        Process first = wiser();
+        Path file = folder.resolve(NodeConfig.fileKey("n1") + ".learned");
+        Path inTheWay = Files.createDirectories(file.resolve("in the way"));
+        first.handover.keep(() -> true);
+        for (int i = 0; i < 5; i++) {
+            first.nanos[0] += 1_000_000_000L;
+            first.loop.runDue();
+        }
+        try (Stream<Path> all = Files.list(folder)) {
+            assertEquals(all.map(Path::getFileName).toList(), List.of(file.getFileName()));
+        }
+        Files.delete(inTheWay);
+        Files.delete(file);
+        first.nanos[0] += 1_000_000_000L;
+        first.loop.runDue();
+        assertTrue(Files.isRegularFile(file), "written once there is room");
+        try (Stream<Path> all = Files.list(folder)) {
+            assertEquals(all.count(), 1L);
+        }
+    }
+
     @Test
     public void aProcessThatDoesNotServeWritesNothing() throws IOException {
         wiser().handover.keep(() -> false);
