The node's own want of descriptors no longer bars the worker it was meant for

Seen: a connection that can't be opened because the budget of descriptors is used up (or the system says EMFILE) reached HttpWorker as connectFailed, and the module heard CONNECT_FAILED: the worker was barred for 32 periods, doubled with each failure in a row up to 64 times. A test of a node with no descriptor left found the worker avoided after its job was refused.

Ruled out: a refused connect from the worker is still CONNECT_FAILED, and a reset after the last byte still RESET; only the two places where the want is the node's own are told otherwise.

At fault: Transport.connect (the budget) and Transport.Pending.failed (EMFILE), both calling connectFailed; HttpWorker.Link.connectFailed. Now Peer has noDescriptor, which HttpWorker ends as NOT_SENT: the job provably never ran, nobody is barred, and the module holds it a period or refuses it with when to return, as for any job that nobody took. Discovery's watch keeps its old handling (the default calls connectFailed).

--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -193,6 +193,19 @@
             }
         }
 
+        /**
+         * Danger: the node's own want of descriptors says nothing of the worker. Told as a failed connection
+         * it would bar the worker, doubling with each one in a row, and keep it barred after room came back.
+         */
+        @Override
+        public void noDescriptor(String why) {
+            if (!shut) {
+                LOG.log(Level.FINE, "worker {0}: not sent: {1}", new Object[] {name, why});
+                shut();
+                finish(Outcome.NOT_SENT, null, Load.NONE);
+            }
+        }
+
         @Override
         public void closed() {
             if (!shut) {
--- a/src/main/java/gorserill/transport/Peer.java
+++ b/src/main/java/gorserill/transport/Peer.java
@@ -16,4 +16,12 @@
 
     /** The connection never came up; comes instead of all the rest. */
     default void connectFailed(String why) { }
+
+    /**
+     * The connection was never tried: this process has no descriptor left for it, by its budget or by the
+     * system's limit (EMFILE). It says nothing of the other side. Comes instead of all the rest.
+     */
+    default void noDescriptor(String why) {
+        connectFailed(why);
+    }
 }
--- a/src/main/java/gorserill/transport/Transport.java
+++ b/src/main/java/gorserill/transport/Transport.java
@@ -146,7 +146,7 @@
     /** Opens a connection; the peer hears {@code opened} or {@code connectFailed}. */
     public Connecting connect(InetSocketAddress address, FilterChain chain, Peer peer) {
         if (!descriptors.open()) {
-            loop.execute(() -> peer.connectFailed("the budget of descriptors is used up"));
+            loop.execute(() -> peer.noDescriptor("the budget of descriptors is used up"));
             return () -> { };
         }
         Pending pending = new Pending(peer);
@@ -247,8 +247,15 @@
         public void failed(Throwable cause) {
             descriptors.closed();
             loop.execute(() -> {
-                if (!cancelled) {
-                    peer.connectFailed(String.valueOf(cause.getMessage()));
+                if (cancelled) {
+                    return;
+                }
+                String why = String.valueOf(cause.getMessage());
+                // Danger: the system's limit of descriptors is this process's want, not the other side's.
+                if (why.contains("Too many open files")) {
+                    peer.noDescriptor(why);
+                } else {
+                    peer.connectFailed(why);
                 }
             });
         }
--- a/src/test/java/gorserill/routing/CoreRulesProperties.java
+++ b/src/test/java/gorserill/routing/CoreRulesProperties.java
@@ -292,8 +292,8 @@
         public void start(Attempt attempt, Work work, long expires) {
             Job job = jobs.get(Integer.parseInt(work.id().substring(1)));
             assertTrue(job.answers.isEmpty() && !job.gone, job + " was sent on after its end");
-            assertTrue(toldAt == Long.MAX_VALUE || now() <= toldAt + DRAIN_GRACE, job + " was sent to worker " + id + ", told "
-                + state + " " + (now() - toldAt) + " us ago");
+            assertTrue(toldAt == Long.MAX_VALUE || now() <= toldAt + DRAIN_GRACE,
+                job + " was sent to worker " + id + ", told " + state + " " + (now() - toldAt) + " us ago");
             JobClass of = CLASSES.get(job.jobClass);
             for (Try before : job.tries) {
                 if (before.handed) {
