--- /dev/null
+++ b/src/test/java/gorserill/program/FleetChurnTest.java
@@ -0,0 +1,45 @@
+package gorserill.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import barrowflow.Dispatcher.ListKind;
+import gorserill.common.Loop;
+import gorserill.protocol.discovery.Listing;
+import gorserill.routing.Core;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** A fleet whose workers are replaced again and again, as on a busy season's days. */
+public class FleetChurnTest {
+    /**
+     * Finding H2 of the hardening review, not mended: the node keeps a number and a worker's pool for every name
+     * ever listed, so its memory grows with the fleet's churn and not with its size. Expected to fail until a
+     * bound is designed; TestNG fails it if it passes.
+     */
+    @Test(expectedExceptions = AssertionError.class)
+    public void whatIsKeptOfWorkersGrowsWithTheFleetNotWithItsHistory() throws Exception {
+        NodeConfig config = NodeConfig.read(new Fixture(new InetSocketAddress("127.0.0.1", 9), "", 15_000, "{}")
+            .environment);
+        List<Throwable> faults = new ArrayList<>();
+        long[] nanos = new long[1];
+        Loop loop = new Loop(faults::add, () -> nanos[0]);
+        Core core = new Core(loop, config.settings, 1, () -> { });
+        Fleet fleet = new Fleet(loop, core, null, List.of("a"), List.of("std4"), name -> false);
+        for (int round = 0; round < 100; round++) {
+            List<Listing.Entry> entries = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                entries.add(new Listing.Entry("w-" + round + "-" + i, "127.0.0.1:9", "a", "std4", 0,
+                    "in_service", 0));
+            }
+            fleet.tell(ListKind.WHOLE, new Listing(round + 1, true, entries));
+            nanos[0] += 1_000_000_000L;
+            loop.runDue();
+        }
+        assertEquals(faults, List.of());
+        assertEquals(fleet.listed(), 50);
+        assertFalse(fleet.knows("w-0-0"), "a worker gone 99 lists ago is still kept");
+    }
+}
