--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -186,11 +186,7 @@
 
         @Override
         public void connectFailed(String why) {
-            if (!shut) {
-                LOG.log(Level.FINE, "worker {0}: no connection: {1}", new Object[] {name, why});
-                shut();
-                finish(Outcome.CONNECT_FAILED, null, Load.NONE);
-            }
+            neverUp(Outcome.CONNECT_FAILED, "no connection: " + why);
         }
 
         /**
@@ -199,10 +195,14 @@
          */
         @Override
         public void noDescriptor(String why) {
+            neverUp(Outcome.NOT_SENT, "not sent: " + why);
+        }
+
+        private void neverUp(Outcome outcome, String why) {
             if (!shut) {
-                LOG.log(Level.FINE, "worker {0}: not sent: {1}", new Object[] {name, why});
+                LOG.log(Level.FINE, "worker {0}: {1}", new Object[] {name, why});
                 shut();
-                finish(Outcome.NOT_SENT, null, Load.NONE);
+                finish(outcome, null, Load.NONE);
             }
         }
 
