A node killed under an unsafe job comes back with its list and runs nothing again

The client and the worker see their connections end; the new process asks discovery, takes a new job and serves it at the worker that was ready, and nothing more reaches that worker.

--- a/src/test/java/gorserill/program/ProgramTest.java
+++ b/src/test/java/gorserill/program/ProgramTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.Test;
 
 /** The program as it is started in service, spoken to over sockets. */
@@ -85,6 +86,57 @@
         }
     }
 
+    /**
+     * Danger: a node killed while an unsafe job runs must come back knowing only its list: it takes new jobs,
+     * keeps what it knew of draining workers, and sends nothing of what it held before, which nobody awaits.
+     */
+    @Test
+    public void aKilledNodeComesBackWithItsListAndRunsNothingAgain() throws Exception {
+        try (Scenario scenario = new Scenario()) {
+            Fixture fixture = new Fixture(scenario.standIn("discovery"),
+                Fixture.endpoint("w1", scenario.standIn("w1"), "in_service") + ","
+                    + Fixture.endpoint("w2", scenario.standIn("w2"), "terminating"), 15_000, "{}");
+            scenario.front("clients", fixture.clients);
+            AtomicReference<Process> program = new AtomicReference<>(start(fixture, "serve"));
+            try {
+                scenario.call("kill", () -> {
+                    program.get().destroyForcibly();
+                    try {
+                        program.get().waitFor();
+                        program.set(start(fixture, "serve"));
+                    } catch (IOException | InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+                scenario.run("""
+                    D accept discovery
+                    D expect GET /v1/servers
+                    C connect clients
+                    C send JOB alerta a-1 5000 once
+                    W accept w1
+                    W expect once
+                    W send ANSWER
+                    W send EVENT {"state":"started"}
+                    X call kill
+                    C expect <closed>
+                    W expect <closed>
+                    E accept discovery
+                    E expect GET /v1/servers
+                    N connect clients
+                    N send JOB alerta a-2 3000 next
+                    V accept w1
+                    V expect ^POST /alerta.*next$
+                    V send ANSWER
+                    V send LAST {"state":"done","result":"two"}
+                    N expect 200 OK\\r\\nContent-Length: 3\\r\\n\\r\\ntwo
+                    V expect <nothing> 300
+                    """.lines().toList());
+            } finally {
+                program.get().destroyForcibly();
+            }
+        }
+    }
+
     /** Danger: the end must come also to a node that was told to take nothing. */
     @Test
     public void sigtermEndsANodeThatIsBeingEmptied() throws Exception {
