--- a/src/test/java/gorserill/program/FleetChurnTest.java
+++ b/src/test/java/gorserill/program/FleetChurnTest.java
@@ -15,14 +15,14 @@
 /** A fleet whose workers are replaced again and again, as on a busy season's days. */
 public class FleetChurnTest {
     /**
-     * Finding H2 of the hardening review, not mended: the node keeps a number and a worker's pool for every name
-     * ever listed, so its memory grows with the fleet's churn and not with its size. Expected to fail until a
-     * bound is designed; TestNG fails it if it passes.
+     * Finding H2 of the hardening review, not mended: the node keeps a number and a worker's pool for every
+     * name ever listed, so its memory grows with the fleet's churn and not with its size. Expected to fail
+     * until a bound is designed; TestNG fails it if it passes.
      */
     @Test(expectedExceptions = AssertionError.class)
     public void whatIsKeptOfWorkersGrowsWithTheFleetNotWithItsHistory() throws Exception {
-        NodeConfig config = NodeConfig.read(new Fixture(new InetSocketAddress("127.0.0.1", 9), "", 15_000, "{}")
-            .environment);
+        InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 9);
+        NodeConfig config = NodeConfig.read(new Fixture(nowhere, "", 15_000, "{}").environment);
         List<Throwable> faults = new ArrayList<>();
         long[] nanos = new long[1];
         Loop loop = new Loop(faults::add, () -> nanos[0]);
