--- a/src/main/java/gorserill/transport/Transport.java
+++ b/src/main/java/gorserill/transport/Transport.java
@@ -143,7 +143,10 @@
         return TCPNIOBindingHandler.builder(nio).processor(chain).build();
     }
 
-    /** Opens a connection; the peer hears {@code opened} or {@code connectFailed}. */
+    /**
+     * Opens a connection; the peer hears {@code opened}, {@code connectFailed}, or {@code noDescriptor} where
+     * this process has none left for it.
+     */
     public Connecting connect(InetSocketAddress address, FilterChain chain, Peer peer) {
         if (!descriptors.open()) {
             loop.execute(() -> peer.noDescriptor("the budget of descriptors is used up"));
--- a/src/test/java/gorserill/routing/CoreRulesProperties.java
+++ b/src/test/java/gorserill/routing/CoreRulesProperties.java
@@ -152,7 +152,7 @@
         core.withdraw(job.handle);
     }
 
-    /** A worker hands over, starts or ends one of its jobs; some it keeps for ever. */
+    /** A worker hands over, starts or ends one of its jobs; now and then it says nothing for a while. */
     private void work(SplittableRandom random) {
         Port port = ports.get(1 + random.nextLong(ports.size()));
         if (port.out.isEmpty() || port.hangs) {
