--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -4,8 +4,9 @@
 import barrowflow.Ledger.Good;
 import barrowflow.Ledger.Job;
 import barrowflow.Ledger.Seller;
+import barrowflow.gossip.Gossip;
+import barrowflow.probing.Prober;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -31,29 +32,22 @@
     private static final double OPENING = 3;
     /** A crossing of zones counts as so many times its price in time, and is left out for a period. */
     private static final double CROSSING = 3;
-    /** Goods of a class: up to 1, 2, 4 and more slots wide. */
-    private static final int WIDTHS = 4;
-    /** What reports tell of a worker's slots is followed by this part; its chance, in slots of one. */
-    private static final double BUSY_MEMORY = 0.3;
+    private static final int WIDTHS = Ledger.WIDTHS;
+    /** How unsure it is what others have at a worker, in slots of one. */
     private static final double UNSURE = 4;
     /** How long an own job waited at a worker counts less as time goes on, in microseconds. */
     private static final double WAIT_MEMORY = 2e6;
     /** A prompt start adds this part of the even share, a queued one takes this part of the share. */
     private static final double GROW = 0.25;
     private static final double SHRINK = 0.2;
-    /** Learned figures follow the last so many jobs; none is taken to run shorter than a millisecond. */
-    private static final double PACE_MEMORY = 8;
-    private static final double RUN_MEMORY = 64;
-    private static final double MIN_RUN = 1_000;
     /** Even shares are a slot over this at least; many dispatchers trade with a part of the workers each. */
     private static final double SHARES_IN_SLOT = 4;
+    /** A copy is thought of once a job waited this part of the time in which it had best start. */
+    private static final int COPY_AFTER = 2;
     /** Standard deviations of chance kept below a cold worker's limit. */
     private static final double COLD_SIGMAS = 3;
     /** A drawn job stands for this part of the window in which a cold worker can be pushed over. */
     private static final double TOKEN = 0.25;
-    /** A tenant's use of its share is seen over two seconds; so much may come at once, or three jobs. */
-    private static final double USAGE_MEMORY = 2e6;
-    private static final double BURST = 3;
     /** Danger: a worker that is not there uses up the attempts of job after job; it is barred for longer. */
     private static final int GONE = 32;
     /** A bar doubles up to so often. */
@@ -68,17 +62,17 @@
     private final long period;
     private final double floor;
     private final Good[] goods;
-    private final Ledger ledger = new Ledger();
-    private final List<Seller> sellers = ledger.sellers;
+    private final Ledger ledger;
+    private final List<Seller> sellers;
     private final List<Job> held = new ArrayList<>();
     private final List<Attempt> open = new ArrayList<>();
     private final long[] longestTry;
-    private final double[] allowance;
-    private final double[] usage;
-    private double fetch;
+    private final Shares shares;
     private double hold;
     private Good lastAsked;
     private double part = 1;
+    private final Gossip gossip;
+    private final Prober prober;
     private long nextPeriod;
     private long askListAt = Long.MAX_VALUE;
     private int listFailures;
@@ -88,6 +82,8 @@
         this.settings = settings;
         this.out = actions;
         this.random = new SplittableRandom(seed);
+        ledger = new Ledger(settings.cold());
+        sellers = ledger.sellers;
         List<JobClass> classes = settings.classes();
         long shortest = Long.MAX_VALUE;
         goods = new Good[classes.size() * WIDTHS];
@@ -98,11 +94,13 @@
         floor = Math.max(1e-3, Math.min(settings.overShareWorth(), 1 / PRICE_SPAN));
         period = Math.max(1_000, shortest / PERIODS_IN_AIM);
         longestTry = new long[classes.size()];
-        allowance = new double[settings.tenants().size()];
-        fetch = period;
-        usage = new double[allowance.length];
-        Arrays.fill(allowance, BURST);
+        shares = new Shares(settings.tenants(), settings.dispatchers());
+        ledger.fetch = period;
         ledger.clock(now);
+        gossip = settings.signs().peers()
+            ? new Gossip(settings.dispatchers(), settings.signs().peerPrice(), (int) random.nextLong()) : null;
+        prober = settings.signs().probes() && settings.signs().reportsByProbe()
+            ? new Prober(settings.dispatchers(), settings.signs().probePrice()) : null;
         // Danger: dispatchers whose periods align swing together, so the seed spreads their phase.
         nextPeriod = now + 1 + random.nextLong(period);
         out.timerAt(nextPeriod);
@@ -115,7 +113,7 @@
 
     @Override
     public void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
-                        double memory, Effect atLeast) {
+                        double memory, Effect atLeast, long hint) {
         ledger.clock(now);
         if (jobClass < 0 || jobClass >= longestTry.length || ledger.jobs.containsKey(id)) {
             throw new IllegalArgumentException("request " + id + ": unknown class or id still held");
@@ -123,14 +121,15 @@
         double taken = Math.max(1, Math.max(slots, memory));
         Good good = goods[jobClass * WIDTHS + (taken <= 1 ? 0 : taken <= 2 ? 1 : taken <= 4 ? 2 : 3)];
         lastAsked = good;
-        good.slots += (taken - good.slots) / Math.min(RUN_MEMORY, ++good.requests);
+        good.asked(taken, hint);
         longestTry[jobClass] = Math.max(longestTry[jobClass], timeLeft);
         long age = timeLeft < longestTry[jobClass] ? Math.max(0, good.of.deadline() - timeLeft) : 0;
-        boolean overShare = !withinShare(tenant, age);
+        boolean overShare = !shares.within(tenant, age < period);
         double worth = good.of.worth() * (overShare ? settings.overShareWorth() : 1);
-        double spare = good.of.aim() + Math.max(0, good.of.stretch() - 1) * good.run;
+        double size = good.size(hint);
+        double spare = good.of.aim() + Math.max(0, good.of.stretch() - 1) * good.run * size;
         Job job = new Job(id, now, good, key, taken, memory, worth, overShare, now - age + (long) spare / 2,
-            now + timeLeft, atLeast);
+            now + timeLeft, atLeast, hint, size);
         ledger.jobs.put(id, job);
         ledger.keySeen(key);
         if (overShare || now > job.bestBy || hopeless(job, now) || !offer(job, now)) {
@@ -138,53 +137,26 @@
         }
     }
 
-    /** Takes one job from the tenant's allowance, which the period refills; false where none is left. */
-    private boolean withinShare(int tenant, long age) {
-        if (tenant < 0 || tenant >= allowance.length || settings.tenants().get(tenant).jobsPerSecond() <= 0) {
-            return true;
-        }
-        usage[tenant] += age < period ? 1 / settings.tenants().get(tenant).jobsPerSecond() : 0;
-        boolean within = allowance[tenant] >= 1;
-        allowance[tenant] -= within ? 1 : 0;
-        return within;
-    }
-
-    /**
-     * Refills allowances by this dispatcher's part of the shares: even, or more where most tenants send more
-     * through it. Danger: clients are not spread alike, and who sees much of the traffic would take honest
-     * tenants for greedy. The median one is held to use four fifths of its share.
-     */
-    private void refill() {
-        double[] sorted = usage.clone();
-        Arrays.sort(sorted);
-        double median = sorted.length < 3 ? 0 : sorted[(sorted.length - 1) / 2] * 1e6 / USAGE_MEMORY;
-        double mine = Math.max(1.0 / settings.dispatchers(), median / 0.8);
-        for (int t = 0; t < allowance.length; t++) {
-            double rate = settings.tenants().get(t).jobsPerSecond() * mine / 1e6;
-            allowance[t] = Math.min(Math.max(BURST, rate * USAGE_MEMORY), allowance[t] + rate * period);
-            usage[t] *= Math.exp(-period / USAGE_MEMORY);
-        }
-    }
-
     /** Offers a job to the market: true if a worker with quota took it. */
     private boolean offer(Job job, long now) {
         Good good = job.good;
         boolean home = settings.crossZonePrice() > 0 && now - job.arrived < period;
-        double most = job.worthAt(now) < good.of.worth() ? job.worthAt(now) : Double.MAX_VALUE;
+        double most = job.worthAt(now) < good.of.worth() ? job.worthAt(now) / good.of.worth()
+            : Double.MAX_VALUE;
         // Danger: worthless jobs fill the slots that worthy ones need; they buy only where prices are low.
         Seller best = null;
         double shortest = 0;
         for (Seller s : sellers) {
             boolean crosses = s.worker.zone() != settings.zone();
             if (crosses && home && !s.owed || !able(s, job, now) || reportsFull(s, job, now)
-                || s.price[good.index] > most) {
+                || s.price[good.index] > most || job.out > 0 && !hasRoom(s, job, now)) {
                 continue;
             }
             if (s.quota[good.index] <= 0) {
-                raise(s, good, 1 + LAMBDA);
+                s.move(good, 1 + LAMBDA, floor, PRICE_SPAN);
                 // Danger: shares are parts of a slot: who keeps a key seldom has quota; it sells on credit.
                 if (job.key == 0 || s.samples == 0 || !takesJobs(s, now) || cold(s, now)
-                    || s.credit < -s.cost(good) || miss(s, job.key) > 0.5) {
+                    || s.credit < -s.cost(good) || ledger.miss(s, job.key) > 0.5) {
                     continue;
                 }
             }
@@ -205,29 +177,20 @@
         return best != null;
     }
 
-    /**
-     * The chance that a worker must fetch what a job is about. Every dispatcher ranks the workers for a key
-     * by the same hash, so the first in that order keep it; one in demand is kept by as many as it busies.
-     */
-    private double miss(Seller s, long key) {
-        double place = (Ledger.mix(Ledger.mix(key) ^ s.worker.id()) >>> 11) * 0x1p-53 * sellers.size();
-        return key == 0 ? 0 : Math.min(1, place / (2 + 2 * ledger.partOfKey(key) * sellers.size()));
-    }
-
     /**
      * How long a job is likely to wait there, by what reports tell of others' jobs, by own jobs out there and
      * by how long the last one waited. Danger: of many dispatchers each sees too few jobs for shares to tell
      * of a queue in time; by run time alone all would fill the quickest workers and leave the others idle.
      */
     private double wait(Seller s, Job job, long now) {
-        double slots = ledger.slots(s) * warmth(s, now);
+        double slots = ledger.slots(s) * ledger.warmth(s, now);
         double beyond = job.slots + s.busy + s.out - slots;
         return hold * s.pace / slots * (beyond + Math.sqrt(beyond * beyond + UNSURE * slots)) / 2
             + s.waited * Math.exp((s.waitedAt - now) / WAIT_MEMORY);
     }
 
     private double runAt(Seller s, Job job) {
-        return job.good.run * s.pace + fetch * miss(s, job.key);
+        return job.good.run * job.size * s.pace + ledger.fetch * ledger.miss(s, job.key);
     }
 
     private double even(Seller s) {
@@ -255,14 +218,7 @@
     }
 
     private boolean cold(Seller s, long now) {
-        return warmth(s, now) < 1;
-    }
-
-    /** The part of its capacity that a worker has at least, warming as slowly as is allowed. */
-    private double warmth(Seller s, long now) {
-        Cold of = settings.cold();
-        double age = s.worker.startedAt() > 0 ? now - s.worker.startedAt() : of.warmUp();
-        return age < of.warmUp() ? of.from() + (1 - of.from()) * age / of.warmUp() : 1;
+        return ledger.warmth(s, now) < 1;
     }
 
     /** No room by its report, less what was sent since; believed for as long as a slot takes to free. */
@@ -271,6 +227,11 @@
             && now - s.reportAt < job.good.run * s.pace / ledger.slots(s);
     }
 
+    /** Danger: where a cancel stops no work, a copy runs to its end; it may take only what nobody needs. */
+    private boolean hasRoom(Seller s, Job job, long now) {
+        return job.slots + s.busy + s.out <= ledger.slots(s) * ledger.warmth(s, now);
+    }
+
     private boolean able(Seller s, Job job, long now) {
         JobClass of = job.good.of;
         if (s.state != WorkerState.READY || of.machineKind() >= 0 && s.worker.kind() != of.machineKind()
@@ -289,7 +250,7 @@
     }
 
     private void send(Job job, Seller s, long now) {
-        Attempt a = new Attempt(job, s, now, runAt(s, job), miss(s, job.key));
+        Attempt a = new Attempt(job, s, now, runAt(s, job), ledger.miss(s, job.key));
         job.attempts.add(a);
         job.out++;
         job.isHeld = false;
@@ -325,7 +286,7 @@
     private void giveUp(Job job) {
         boolean lawful = job.effect == Effect.SAFE || job.mayHaveRun() == null
             || job.effect == Effect.KEYED && job.good.of.group() == Group.ALL;
-        close(job);
+        close(job, false);
         if (lawful) {
             out.refuse(job.id, settings.maxRetryAfter());
         } else {
@@ -334,8 +295,9 @@
     }
 
     /** The job is over; attempts still out are called off, and keep it known until they end. */
-    private void close(Job job) {
+    private void close(Job job, boolean inTime) {
         boolean first = !job.over;
+        ledger.count(job, settings.goal(), inTime);
         job.over = true;
         job.isHeld = false;
         for (int i = 0; i < job.attempts.size() && first && settings.mayCancel(); i++) {
@@ -357,14 +319,19 @@
             return;
         }
         nextPeriod = Math.max(nextPeriod + period, now + 1);
+        ledger.values(goods, settings.goal(), now);
         for (Job job : held) {
-            job.bid = job.worthAt(now) / (job.slots * job.good.run);
+            job.bid = job.worthAt(now) / job.good.of.worth() * job.good.value
+                * (settings.goal().byWork() ? 1 : 1 / job.size) / (job.slots * job.good.run);
         }
         held.sort((a, b) -> Double.compare(b.bid, a.bid));
         offerHeld(now, true);
+        ledger.lapse(now);
         watchAttempts(now);
-        refill();
+        shares.refill(period, gossip);
         centrePaces(now);
+        gossip(now);
+        probe(now);
         for (Seller s : sellers) {
             supply(s, now);
         }
@@ -377,6 +344,44 @@
         out.timerAt(nextPeriod);
     }
 
+    /** Tells the others what is out, and counts what they have out where they were heard. */
+    private void gossip(long now) {
+        if (gossip != null) {
+            gossip.expire(now);
+            if (gossip.due(now, ledger.inUse(), shares.jobsPerSecond())) {
+                out.tell(ledger.message(gossip, shares.perSecond()));
+            }
+            ledger.others(gossip);
+        }
+    }
+
+    /** Asks those for their load that were not asked for longest. Others who tell theirs tell more, for less. */
+    private void probe(long now) {
+        boolean told = gossip != null && gossip.others() > 0;
+        int due = prober == null || told ? 0 : prober.due(now, sellers.size(), shares.jobsPerSecond());
+        for (Seller s : ledger.longestUnasked(due)) {
+            s.probedAt = now;
+            out.probe(s.worker.id());
+        }
+    }
+
+    @Override
+    public void probed(long now, long worker, double freeSlots, double freeMemory) {
+        ledger.clock(now);
+        Seller s = ledger.seller(worker);
+        if (s != null) {
+            ledger.reported(s, now, freeSlots, freeMemory);
+        }
+    }
+
+    @Override
+    public void heard(long now, int from, byte[] message) {
+        ledger.clock(now);
+        if (gossip != null) {
+            gossip.heard(now, from, message);
+        }
+    }
+
     /** Jobs over their tenant's share, or late, take only what a period leaves over. */
     private void offerHeld(long now, boolean leftover) {
         for (int i = 0; i < held.size(); i++) {
@@ -391,7 +396,7 @@
 
     /**
      * Finds where an own job waits, and offers a copy where its class bears one; the first to start goes on.
-     * Danger: a worker gone silent or slow would draw one after another.
+     * Danger: a worker gone silent or slow would draw one after another; one that gives signs gets to it.
      */
     private void watchAttempts(long now) {
         for (Seller s : sellers) {
@@ -405,6 +410,7 @@
                 a.seller.waitedAt = now;
                 queued(a);
                 if (settings.secondCopies() && a.job.out == 1 && !a.job.over && now <= a.job.bestBy
+                    && a.seller.signAt < a.sentAt && now - a.sentAt > a.job.spare() / COPY_AFTER
                     && a.job.attempts.size() + 1 < settings.maxAttempts()) {
                     offer(a.job, now);
                 }
@@ -447,11 +453,6 @@
         hold = ledger.meanCost(goods);
     }
 
-    private void raise(Seller s, Good g, double factor) {
-        double price = s.price[g.index] * factor / g.of.worth();
-        s.price[g.index] = g.of.worth() * Math.max(floor, Math.min(PRICE_SPAN, price));
-    }
-
     /** Ends a period, in which leftover lowered the price, and opens the quotas of the next. */
     private void supply(Seller s, long now) {
         if (now < s.lapses && takesJobs(s, now) && !s.soldOut()) {
@@ -462,7 +463,7 @@
         for (Good g : goods) {
             need = g.requests > 0 ? Math.max(need, s.cost(g)) : need;
             if (s.quota[g.index] > 0) {
-                raise(s, g, Math.max(0, 1 - LAMBDA * s.quota[g.index]));
+                s.move(g, 1 - LAMBDA * s.quota[g.index], floor, PRICE_SPAN);
             }
         }
         s.credit = (need > fresh ? s.credit : Math.min(0, s.credit)) + fresh;
@@ -522,7 +523,8 @@
         Good best = null;
         for (Good g : goods) {
             if (g.requests > 0 && g.turn < turn && (best == null
-                || s.price[g.index] / g.cost() > s.price[best.index] / best.cost())) {
+                || s.price[g.index] * g.value / g.cost()
+                    > s.price[best.index] * best.value / best.cost())) {
                 best = g;
             }
         }
@@ -536,7 +538,7 @@
      */
     private void supplyCold(Seller s, long now) {
         Cold cold = settings.cold();
-        double capacity = warmth(s, now) * ledger.slots(s) * cold.fallWindow();
+        double capacity = ledger.warmth(s, now) * ledger.slots(s) * cold.fallWindow();
         Good g = lastAsked;
         double cost = g == null ? capacity : s.cost(g);
         double root = (Math.sqrt(COLD_SIGMAS * COLD_SIGMAS * cost + 4 * cold.fallMultiple() * capacity)
@@ -560,6 +562,7 @@
         }
         a.startedAt = now;
         Seller s = a.seller;
+        s.signAt = now;
         s.failures = 0;
         s.barredUntil = s.errors > 0 ? s.barredUntil : now;
         s.running += a.job.slots;
@@ -613,15 +616,14 @@
         a.neverRan = outcome.neverRan;
         open.remove(a);
         job.out--;
-        s.out -= job.slots;
-        s.running -= a.startedAt > 0 ? job.slots : 0;
-        if (!Double.isNaN(freeSlots)) {
-            s.freeSlots = freeSlots;
-            s.freeMemory = freeMemory;
-            s.reportAt = now;
-            ledger.slotsSeen(s, freeSlots);
-            s.busy += BUSY_MEMORY * (Math.max(0, ledger.slots(s) - freeSlots - s.out) - s.busy);
+        if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMEOUT) {
+            ledger.ghost(a, (long) ((a.startedAt > 0 ? a.startedAt : now + wait(s, job, now)) + a.expected));
+        } else {
+            s.out -= job.slots;
         }
+        s.running -= a.startedAt > 0 ? job.slots : 0;
+        ledger.reported(s, now, freeSlots, freeMemory);
+        s.signAt = outcome == Outcome.SERVED || outcome == Outcome.FULL ? now : s.signAt;
         switch (outcome) {
             case SERVED -> learn(a, now);
             case FULL -> {
@@ -638,7 +640,8 @@
             default -> bar(s, now, period);
         }
         if (over || job.over) {
-            close(job);
+            close(job, outcome == Outcome.SERVED && now - job.arrived
+                <= job.good.of.aim() + job.good.of.stretch() * job.good.run * job.size);
         } else if (job.out == 0) {
             hold(job, now);
         }
@@ -658,12 +661,7 @@
         // A slot entered at once is known to be free after; one at a key's far worker had better stay idle.
         double spare = a.queued || a.job.key != 0 ? Math.max(0, a.expected - run) : a.expected;
         s.credit += spare * a.job.slots;
-        s.samples++;
-        fetch = Math.max(0, fetch + a.miss * (run - g.run * s.pace - fetch * a.miss) / RUN_MEMORY);
-        run = Math.max(MIN_RUN, run - fetch * a.miss);
-        double learned = (run - g.run * s.pace) / Math.max(1, s.pace) / Math.min(RUN_MEMORY, ++g.runs);
-        g.run = Math.max(MIN_RUN, g.run + learned);
-        s.pace += (run / g.run - s.pace) / Math.min(PACE_MEMORY, s.samples + 1);
+        ledger.learn(a, run);
     }
 
     /** Danger: a worker that fails fast would draw jobs; each failure in a row doubles its bar. */
@@ -678,7 +676,7 @@
         ledger.clock(now);
         Job job = ledger.jobs.get(request);
         if (job != null && !job.over) {
-            close(job);
+            close(job, false);
         }
     }
 
--- a/src/main/java/barrowflow/Dispatcher.java
+++ b/src/main/java/barrowflow/Dispatcher.java
@@ -62,6 +62,25 @@
      */
     record Cold(double from, long warmUp, double fallMultiple, long fallWindow) { }
 
+    /**
+     * What the result is made of: the weights of the whole run and of the worst-served class, and whether
+     * worth counts for each unit of work ({@code byWork}) or for each job.
+     */
+    record Goal(double whole, double worstClass, boolean byWork) {
+        /** Nothing told: the whole run counts, by the job. */
+        public static final Goal UNTOLD = new Goal(1, 0, false);
+    }
+
+    /**
+     * Ways to learn of workers beyond own jobs, with their prices in parts of the result: messages to other
+     * dispatchers ({@code peerPrice} for one full message a job) and probes ({@code probePrice} for one a
+     * job); {@code reportsByProbe} where load reports come with probes alone.
+     */
+    record Signs(boolean peers, double peerPrice, boolean probes, double probePrice,
+                 boolean reportsByProbe) {
+        public static final Signs NONE = new Signs(false, 0, false, 0, false);
+    }
+
     /**
      * All that the module is told at its start; {@code dispatchers} push to the same workers. With {@code
      * secondCopies} a job that may run twice can have two attempts out at once.
@@ -69,7 +88,17 @@
     record Settings(int dispatchers, int zone, List<JobClass> classes, List<Tenant> tenants,
                     double overShareWorth, Cold cold, int maxAttempts, boolean mayCancel, long maxRetryAfter,
                     boolean listOnRequest, boolean startNotices, double crossZonePrice,
-                    boolean secondCopies) {
+                    boolean secondCopies, Goal goal, Signs signs) {
+        /** The same where neither a goal nor ways to learn are told. */
+        public Settings(int dispatchers, int zone, List<JobClass> classes, List<Tenant> tenants,
+                        double overShareWorth, Cold cold, int maxAttempts, boolean mayCancel,
+                        long maxRetryAfter, boolean listOnRequest, boolean startNotices,
+                        double crossZonePrice, boolean secondCopies) {
+            this(dispatchers, zone, classes, tenants, overShareWorth, cold, maxAttempts, mayCancel,
+                maxRetryAfter, listOnRequest, startNotices, crossZonePrice, secondCopies, Goal.UNTOLD,
+                Signs.NONE);
+        }
+
         /** The same where no second copy may be sent while the first is out. */
         public Settings(int dispatchers, int zone, List<JobClass> classes, List<Tenant> tenants,
                         double overShareWorth, Cold cold, int maxAttempts, boolean mayCancel,
@@ -79,6 +108,13 @@
                 maxRetryAfter, listOnRequest, startNotices, crossZonePrice, false);
         }
 
+        /** The same where the host can't reach other dispatchers. */
+        public Settings withoutPeers() {
+            return new Settings(dispatchers, zone, classes, tenants, overShareWorth, cold, maxAttempts,
+                mayCancel, maxRetryAfter, listOnRequest, startNotices, crossZonePrice, secondCopies, goal,
+                new Signs(false, 0, signs.probes(), signs.probePrice(), signs.reportsByProbe()));
+        }
+
         public Settings {
             if (dispatchers < 1 || maxAttempts < 1 || classes.isEmpty()) {
                 throw new IllegalArgumentException("settings need a dispatcher, an attempt and a class");
@@ -94,8 +130,16 @@
         }
     }
 
-    /** A line of the worker list; {@code startedAt} is 0 for long ago. */
-    record Worker(long id, int kind, int zone, int cell, WorkerState state, long startedAt) { }
+    /**
+     * A line of the worker list; {@code startedAt} is 0 for long ago. {@code name} is the same at every
+     * dispatcher, {@code id} the host's own number for it.
+     */
+    record Worker(long id, int kind, int zone, int cell, WorkerState state, long startedAt, long name) {
+        /** A worker whose number is the same at every dispatcher. */
+        public Worker(long id, int kind, int zone, int cell, WorkerState state, long startedAt) {
+            this(id, kind, zone, cell, state, startedAt, id);
+        }
+    }
 
     /**
      * What a dispatcher has learned, for another one with the same settings that takes its place. The figures
@@ -122,6 +166,12 @@
 
         /** Subscribe to changes of the worker list; whatever comes of it, {@link #workers} answers. */
         void watchList();
+
+        /** Send every other dispatcher a message of 256 bytes at most; asked for where settings allow it. */
+        default void tell(byte[] message) { }
+
+        /** Ask a worker for its load; {@link #probed} answers. Asked for where settings allow it. */
+        default void probe(long worker) { }
     }
 
     /** The worker list, or changes to it, became known. */
@@ -130,14 +180,22 @@
     /**
      * A client's job arrived, to be answered within {@code timeLeft}.
      *
-     * @param tenant its place in the settings' list; any number where that is empty
+     * @param tenant its place in the settings' list; any other number for one without a share, where there
+     *     are shares
      * @param key what the job is about; 0 for nothing
      * @param slots slots that it takes of a worker
      * @param memory memory units that it takes; 0 where none are counted
      * @param atLeast what this job says of its effect; the stricter of this and its class's holds
+     * @param hint a rough guess at its work, microseconds of a standard core; 0 for none
      */
     void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
-                 double memory, Effect atLeast);
+                 double memory, Effect atLeast, long hint);
+
+    /** The same for a job that comes with no hint. */
+    default void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
+                         double memory, Effect atLeast) {
+        request(now, id, jobClass, tenant, key, timeLeft, slots, memory, atLeast, 0);
+    }
 
     /** The same for a job that is like all of its class. */
     default void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
@@ -165,6 +223,12 @@
     void ended(long now, long request, int attempt, Outcome outcome, boolean over, double freeSlots,
                double freeMemory);
 
+    /** A message of another dispatcher, the {@code from}th; whatever it holds, no rule hangs on it. */
+    default void heard(long now, int from, byte[] message) { }
+
+    /** What came of a {@link Actions#probe}: free slots and memory, NaN where nothing was told. */
+    default void probed(long now, long worker, double freeSlots, double freeMemory) { }
+
     /** The client has left; nothing more is owed. */
     void withdrawn(long now, long request);
 
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -1,12 +1,16 @@
 package barrowflow;
 
+import barrowflow.Dispatcher.Cold;
 import barrowflow.Dispatcher.Effect;
+import barrowflow.Dispatcher.Goal;
 import barrowflow.Dispatcher.JobClass;
 import barrowflow.Dispatcher.Learned;
 import barrowflow.Dispatcher.Worker;
 import barrowflow.Dispatcher.WorkerState;
+import barrowflow.gossip.Gossip;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -21,10 +25,25 @@
     private static final int KEYS = 1024;
     /** What was learned of so many kinds of workers is handed on. */
     private static final int KINDS_TOLD = 16;
+    /** Goods of a class: up to 1, 2, 4 and more slots wide. */
+    static final int WIDTHS = 4;
+    /** Service is counted over so many microseconds, and blurs by so much of it. */
+    private static final double VALUE_MEMORY = 10e6;
+    private static final double BLUR = 0.1;
+    /** Learned figures follow the last so many jobs; none is taken to run shorter than a millisecond. */
+    private static final double PACE_MEMORY = 8;
+    private static final double RUN_MEMORY = 64;
+    /** What reports tell of a worker's slots is followed by this part. */
+    private static final double BUSY_MEMORY = 0.3;
+    private static final double MIN_RUN = 1_000;
 
     /** The workers listed, in the order in which they were first named. */
     final List<Seller> sellers = new ArrayList<>();
     final Map<Long, Job> jobs = new HashMap<>();
+    /** How long it takes a worker to fetch what a job is about, microseconds. */
+    double fetch;
+    private final Cold cold;
+    private final List<Attempt> ghosts = new ArrayList<>();
     private final Map<Long, Seller> sellerById = new HashMap<>();
     /** Workers that are gone and may come back. */
     private final Set<Long> left = new HashSet<>();
@@ -32,6 +51,11 @@
     private final int[] keySeen = new int[KEYS];
     private int keysSeen;
     private long lastEvent = Long.MIN_VALUE;
+    private long valuedAt;
+
+    Ledger(Cold cold) {
+        this.cold = cold;
+    }
 
     /** Takes over a worker list, or changes to it. A worker that started anew is a new seller. */
     void list(boolean whole, List<Worker> entries, Function<Worker, Seller> seller) {
@@ -73,6 +97,19 @@
         return true;
     }
 
+    /** An attempt that was called off, or not waited for, may run on: its slots count as taken until then. */
+    void ghost(Attempt a, long until) {
+        a.runsOnUntil = until;
+        ghosts.add(a);
+    }
+
+    void lapse(long now) {
+        ghosts.removeIf(a -> {
+            a.seller.out -= now >= a.runsOnUntil ? a.job.slots : 0;
+            return now >= a.runsOnUntil;
+        });
+    }
+
     /** A worker that is not gone, or null. */
     Seller seller(long worker) {
         return sellerById.get(worker);
@@ -157,6 +194,78 @@
         return (double) keySeen[(int) (mix(key) & KEYS - 1)] / Math.max(1, keysSeen);
     }
 
+    /** The part of its capacity that a worker has at least, warming as slowly as is allowed. */
+    double warmth(Seller s, long now) {
+        double age = s.worker.startedAt() > 0 ? now - s.worker.startedAt() : cold.warmUp();
+        return age < cold.warmUp() ? cold.from() + (1 - cold.from()) * age / cold.warmUp() : 1;
+    }
+
+    /**
+     * The chance that a worker must fetch what a job is about. Every dispatcher ranks the workers for a key
+     * by the same hash, so the first in that order keep it; one in demand is kept by as many as it busies.
+     */
+    double miss(Seller s, long key) {
+        double place = (mix(mix(key) ^ s.worker.name()) >>> 11) * 0x1p-53 * sellers.size();
+        return key == 0 ? 0 : Math.min(1, place / (2 + 2 * partOfKey(key) * sellers.size()));
+    }
+
+    /** What a finished job teaches of its worker's pace, its good's run time, hints and fetching. */
+    void learn(Attempt a, double took) {
+        Seller s = a.seller;
+        Good g = a.job.good;
+        s.samples++;
+        fetch = Math.max(0, fetch + a.miss * (took - g.run * s.pace - fetch * a.miss) / RUN_MEMORY);
+        double run = Math.max(MIN_RUN, took - fetch * a.miss);
+        g.hintSeen(a.job.hint, run / (g.run * s.pace));
+        run /= a.job.size;
+        double learned = (run - g.run * s.pace) / Math.max(1, s.pace) / Math.min(RUN_MEMORY, ++g.runs);
+        g.run = Math.max(MIN_RUN, g.run + learned);
+        s.pace += (run / g.run - s.pace) / Math.min(PACE_MEMORY, s.samples + 1);
+    }
+
+    /** A job is over. What is over its tenant's share is worth little to the goal, and counts for nothing. */
+    void count(Job job, Goal goal, boolean inTime) {
+        double worth = job.over || job.overShare ? 0 : goal.byWork() ? job.good.run * job.size * job.slots : 1;
+        job.good.asked += worth;
+        job.good.got += inTime ? worth : 0;
+    }
+
+    /** What a worker tells of its room; NaN where it does not. */
+    void reported(Seller s, long now, double freeSlots, double freeMemory) {
+        if (!Double.isNaN(freeSlots)) {
+            s.freeSlots = freeSlots;
+            s.freeMemory = freeMemory;
+            s.reportAt = now;
+            slotsSeen(s, freeSlots);
+            s.busy += BUSY_MEMORY * (Math.max(0, slots(s) - freeSlots - s.out) - s.busy);
+        }
+    }
+
+    /** What the others tell of their own jobs goes before reports, as long as any is heard. */
+    void others(Gossip gossip) {
+        for (Seller s : sellers) {
+            s.busy = gossip.others() > 0 ? gossip.taken(s.worker.name()) : s.busy;
+        }
+    }
+
+    /** How many workers have own jobs. */
+    int inUse() {
+        return (int) sellers.stream().filter(s -> s.out > 0).count();
+    }
+
+    /** What the others are told of them. */
+    byte[] message(Gossip gossip, double[] perSecond) {
+        List<Seller> used = sellers.stream().filter(s -> s.out > 0).toList();
+        return gossip.message(used.stream().mapToLong(s -> s.worker.name()).toArray(),
+            used.stream().mapToDouble(s -> s.out).toArray(), perSecond);
+    }
+
+    /** Ready workers, as many as asked for, that were not probed for the longest time. */
+    List<Seller> longestUnasked(int count) {
+        return count < 1 ? List.of() : sellers.stream().filter(s -> s.state == WorkerState.READY)
+            .sorted(Comparator.comparingLong(s -> s.probedAt)).limit(count).toList();
+    }
+
     /** Slot-seconds (in microseconds) of the average job so far at average speed. */
     double meanCost(Good[] goods) {
         double cost = 0;
@@ -168,6 +277,39 @@
         return cost / Math.max(1, requests);
     }
 
+    /**
+     * What a job of each good is worth by the goal: its class's worth, by work where that counts, and more
+     * for the class that is served worst. Which one that is blurs within a tenth of its service.
+     */
+    void values(Good[] goods, Goal goal, long now) {
+        double fade = Math.exp((valuedAt - now) / VALUE_MEMORY);
+        valuedAt = now;
+        int classes = goods.length / WIDTHS;
+        double[] asked = new double[classes];
+        double[] behind = new double[classes];
+        double all = 0;
+        double sum = 0;
+        for (int c = 0; c < classes; c++) {
+            double got = 0;
+            for (int w = 0; w < WIDTHS; w++) {
+                Good g = goods[c * WIDTHS + w];
+                g.asked *= fade;
+                g.got *= fade;
+                asked[c] += g.asked * g.of.worth();
+                got += g.got * g.of.worth();
+            }
+            all += asked[c];
+            behind[c] = asked[c] <= 0 ? 0 : Math.exp(-got / asked[c] / BLUR);
+            sum += behind[c];
+        }
+        double mean = goal.byWork() ? Math.max(1, meanCost(goods)) : 1;
+        for (Good g : goods) {
+            int c = g.index / WIDTHS;
+            double worst = asked[c] <= 0 ? 0 : goal.worstClass() * behind[c] / sum * all / asked[c];
+            g.value = g.of.worth() * (goal.byWork() ? g.cost() / mean : 1) * (goal.whole() + worst);
+        }
+    }
+
     /** A well-mixed hash of a number, the same in every process. */
     static long mix(long z) {
         z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
@@ -186,6 +328,9 @@
 
     /** A private class of jobs, one class of one width, with what the fleet was seen to need for it. */
     static final class Good {
+        /** Hints count for little until they were seen to vary; a job is at most so many times the mean. */
+        private static final double HINT_DOUBT = 0.02;
+        private static final double HINT_SPAN = 4;
         final JobClass of;
         final int index;
         /** Learned run time at average speed, microseconds. */
@@ -194,12 +339,47 @@
         double slots = 1;
         double requests;
         double runs;
+        /** A job's worth as the goal counts it, on average over the goods' jobs that of the class. */
+        double value;
+        /** What was asked of late, counted as worth is, and the part of it that was served in time. */
+        double asked;
+        double got;
+        /** The mean hint, and how far runs follow hints: moments of both about their means. */
+        double hint;
+        double hintVariance;
+        double hintRun;
         long turn;
 
         Good(JobClass of, int index) {
             this.of = of;
             this.index = index;
             run = of.aim();
+            value = of.worth();
+        }
+
+        /** How much longer than the mean a job with this hint is likely to run; 1 where there is none. */
+        double size(long hinted) {
+            if (hinted <= 0 || hint <= 0) {
+                return 1;
+            }
+            double follows = Math.max(0, Math.min(1, hintRun / (hintVariance + HINT_DOUBT)));
+            return Math.max(1 / HINT_SPAN, Math.min(HINT_SPAN, 1 + follows * (hinted / hint - 1)));
+        }
+
+        /** A job was asked for. */
+        void asked(double taken, long hinted) {
+            slots += (taken - slots) / Math.min(RUN_MEMORY, ++requests);
+            hint += hinted > 0 ? (hinted - hint) / Math.min(RUN_MEMORY, requests) : 0;
+        }
+
+        /** What a finished job teaches of hints: {@code relative} is its run over the mean one. */
+        void hintSeen(long hinted, double relative) {
+            if (hinted > 0 && hint > 0) {
+                double memory = Math.min(RUN_MEMORY, runs + 1);
+                double x = Math.max(-1, Math.min(HINT_SPAN, hinted / hint - 1));
+                hintVariance += (x * x - hintVariance) / memory;
+                hintRun += (x * (Math.min(HINT_SPAN, relative) - 1) - hintRun) / memory;
+            }
         }
 
         /** How long a job of the mean run time may take for its full worth, microseconds. */
@@ -216,6 +396,7 @@
     /** A worker as a seller in this dispatcher's market. */
     static final class Seller {
         final Worker worker;
+        /** By good, over the good's value. */
         final double[] price;
         final int[] quota;
         /** This dispatcher's own order among equals. */
@@ -239,6 +420,8 @@
         /** How long the last own job waited there to start, and when that was known. */
         double waited;
         long waitedAt;
+        /** When it last began or ended an own job. */
+        long signAt;
         int failures;
         /** It was put back to work and has had no job since. */
         boolean owed;
@@ -252,6 +435,7 @@
         double freeSlots;
         double freeMemory;
         long reportAt = Long.MIN_VALUE / 2;
+        long probedAt = Long.MIN_VALUE / 2;
 
         Seller(Worker worker, Good[] goods, double tie, long reach) {
             this.worker = worker;
@@ -261,7 +445,7 @@
             price = new double[goods.length];
             quota = new int[goods.length];
             for (Good g : goods) {
-                price[g.index] = g.of.worth();
+                price[g.index] = 1;
             }
         }
 
@@ -269,6 +453,11 @@
             return g.cost() * pace;
         }
 
+        /** A price moves within a span of the good's value, and not below the floor. */
+        void move(Good g, double factor, double floor, double span) {
+            price[g.index] = Math.max(floor, Math.min(span, price[g.index] * Math.max(0, factor)));
+        }
+
         /** One job of the quota is gone, or all of it where one job was all it could sell. */
         void sold(Good g, boolean all) {
             quota[g.index]--;
@@ -309,10 +498,16 @@
         int out;
         boolean over;
         boolean isHeld;
+        /** A rough guess at its work, microseconds of a standard core; 0 for none. */
+        final long hint;
+        /** Its likely run over the mean one of its good. */
+        final double size;
         double bid;
 
         Job(long id, long arrived, Good good, long key, double slots, double memory, double worth,
-            boolean overShare, long bestBy, long deadline, Effect atLeast) {
+            boolean overShare, long bestBy, long deadline, Effect atLeast, long hint, double size) {
+            this.hint = hint;
+            this.size = size;
             this.id = id;
             this.arrived = arrived;
             this.good = good;
@@ -327,6 +522,11 @@
             effect = atLeast.compareTo(usual) > 0 ? atLeast : usual;
         }
 
+        /** How long it could wait for the full worth when it came. */
+        long spare() {
+            return bestBy - arrived;
+        }
+
         double worthAt(long now) {
             return now <= bestBy ? worth : worth * good.of.lateShare();
         }
@@ -373,6 +573,8 @@
         boolean queued;
         /** A connection is opened for it. */
         boolean opening;
+        /** It was given up and may run on until then. */
+        long runsOnUntil;
 
         Attempt(Job job, Seller seller, long sentAt, double expected, double miss) {
             this.job = job;
--- a/src/main/java/barrowflow/adapter/Adapter.java
+++ b/src/main/java/barrowflow/adapter/Adapter.java
@@ -1,5 +1,6 @@
 package barrowflow.adapter;
 
+import barrowflow.Dispatcher.Effect;
 import barrowflow.Dispatcher.ListKind;
 import barrowflow.Dispatcher.Outcome;
 import barrowflow.Dispatcher.Worker;
@@ -11,6 +12,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,7 +34,10 @@
     private static final int ANNOUNCE = 100;
     private static final int WITHDRAWN = 120;
     private static final int UP = 130;
+    private static final int MEMO = 90;
+    private static final int STATUS_BACK = 110;
     private static final int NOTE_STARTED = 1;
+    private static final int HINT_VALID = 1;
 
     private final Map<Integer, Instance> instances = new HashMap<>();
     private final Map<Integer, List<Worker>> sheets = new HashMap<>();
@@ -127,6 +132,9 @@
             case WITHDRAWN -> instance.dispatcher.withdrawn(now, frame.getLong(at + 1));
             case RING -> instance.dispatcher.timer(now);
             case ANNOUNCE -> announce(instance, at);
+            case MEMO -> instance.dispatcher.heard(now, frame.getInt(at + 1), bytes(at + 5));
+            case STATUS_BACK -> instance.dispatcher.probed(now, workerId(at + 1),
+                report(at + 13, instance.freeSlots), report(at + 13, instance.freeMemory));
             default -> { }
         }
     }
@@ -134,7 +142,9 @@
     private void knock(Instance to, int at) {
         to.dispatcher.request(now, frame.getLong(at + 1), frame.getShort(at + 9) & 0xffff,
             to.tenants ? frame.getShort(at + 11) & 0xffff : 0, frame.getLong(at + 13),
-            frame.getInt(at + 21) & 0xffffffffL, frame.getFloat(at + 29), frame.getFloat(at + 33));
+            frame.getInt(at + 21) & 0xffffffffL, frame.getFloat(at + 29), frame.getFloat(at + 33),
+            Effect.SAFE, (frame.getShort(at + 37) & HINT_VALID) == 0 ? 0
+                : frame.getInt(at + 25) & 0xffffffffL);
     }
 
     private void settled(Instance to, int at) {
@@ -183,13 +193,21 @@
                 case 2 -> WorkerState.DRAINING;
                 default -> WorkerState.GONE;
             };
-            long id = (frame.getInt(at + 1) & 0xffffffffL) | (frame.getShort(at + 5) & 0xffffL) << 32;
-            entries.add(new Worker(id, frame.get(at) & 0xff, frame.getShort(at + 11) & 0xffff,
+            entries.add(new Worker(workerId(at + 1), frame.get(at) & 0xff, frame.getShort(at + 11) & 0xffff,
                 frame.getShort(at + 22) & 0xffff, state, frame.getLong(at + 14)));
         }
         return entries;
     }
 
+    private long workerId(int at) {
+        return (frame.getInt(at) & 0xffffffffL) | (frame.getShort(at + 4) & 0xffffL) << 32;
+    }
+
+    private byte[] bytes(int field) throws Malformed {
+        int at = tail(field, frame.getInt(field + 4));
+        return Arrays.copyOfRange(frame.array(), at, at + frame.getInt(field + 4));
+    }
+
     private String text(int field) throws Malformed {
         int length = frame.getInt(field + 4);
         return new String(frame.array(), tail(field, length), length, StandardCharsets.UTF_8);
--- a/src/main/java/barrowflow/adapter/Instance.java
+++ b/src/main/java/barrowflow/adapter/Instance.java
@@ -57,4 +57,17 @@
     public void watchList() {
         reply.fields().put(reply.record(number, Reply.KEEP_INFORMED) + 1, (byte) 1);
     }
+
+    @Override
+    public void tell(byte[] message) {
+        int at = reply.record(number, Reply.WRITE_PEER);
+        int from = reply.tail(message);
+        reply.fields().putShort(at + 1, Reply.ALL_PEERS).putInt(at + 3, from).putInt(at + 7, message.length);
+    }
+
+    @Override
+    public void probe(long worker) {
+        int at = reply.record(number, Reply.ASK_LOAD);
+        reply.fields().putInt(at + 1, (int) worker).putShort(at + 5, (short) (worker >>> 32));
+    }
 }
--- a/src/main/java/barrowflow/adapter/Reply.java
+++ b/src/main/java/barrowflow/adapter/Reply.java
@@ -15,9 +15,12 @@
     static final int KEEP_INFORMED = 30;
     static final int ABORT_ATTEMPT = 10;
     static final int FINISH_ERROR = 50;
+    static final int ASK_LOAD = 60;
     static final int PASS_ON = 70;
     static final int TURN_AWAY = 80;
     static final int INSTANCE = 100;
+    static final int WRITE_PEER = 110;
+    static final short ALL_PEERS = -1;
     static final int TIMER = 120;
 
     private ByteBuffer records = ByteBuffer.allocate(1 << 16).order(ByteOrder.LITTLE_ENDIAN);
@@ -59,10 +62,15 @@
     void die(int instance, String what) {
         byte[] text = what.getBytes(StandardCharsets.UTF_8);
         int at = record(instance, DIE);
-        records.putInt(at + 1, tail.length).putInt(at + 5, text.length);
+        records.putInt(at + 1, tail(text)).putInt(at + 5, text.length);
+    }
+
+    /** Adds to the tail; gives the offset of what was added. */
+    int tail(byte[] bytes) {
         int before = tail.length;
-        tail = Arrays.copyOf(tail, before + text.length);
-        System.arraycopy(text, 0, tail, before, text.length);
+        tail = Arrays.copyOf(tail, before + bytes.length);
+        System.arraycopy(bytes, 0, tail, before, bytes.length);
+        return before;
     }
 
     void writeTo(OutputStream out) throws IOException {
--- a/src/main/java/barrowflow/adapter/SettingsParser.java
+++ b/src/main/java/barrowflow/adapter/SettingsParser.java
@@ -2,9 +2,11 @@
 
 import barrowflow.Dispatcher.Cold;
 import barrowflow.Dispatcher.Effect;
+import barrowflow.Dispatcher.Goal;
 import barrowflow.Dispatcher.Group;
 import barrowflow.Dispatcher.JobClass;
 import barrowflow.Dispatcher.Settings;
+import barrowflow.Dispatcher.Signs;
 import barrowflow.Dispatcher.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -44,7 +46,11 @@
             (int) number("caps.max_attempts", null), flag("caps.may_cancel"),
             flag("caps.retry_after") ? (long) number("caps.max_retry_after_us", 0.0) : 0,
             word("registry_mode", "pushed").equals("on_request"), flag("domain.tells_start"),
-            number("prices.cross_zone", 0.0), flag("caps.second_copies") && flag("caps.may_cancel"));
+            number("prices.cross_zone", 0.0), flag("caps.second_copies") && flag("caps.may_cancel"),
+            new Goal(number("goal.whole", 1.0), number("goal.worst_class", 0.0),
+                word("counted_by", "request").equals("work")),
+            new Signs(flag("caps.peers"), number("prices.peer", 0.0), flag("caps.probes"),
+                number("prices.probe", 0.0), word("report.how", "silent").equals("pull")));
     }
 
     private JobClass jobClass(int c) {
--- /dev/null
+++ b/src/main/java/barrowflow/gossip/Gossip.java
@@ -0,0 +1,198 @@
+package barrowflow.gossip;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What dispatchers tell one another of the slots that their jobs take at workers and of their tenants' use.
+ * Messages may be lost, late, doubled or come from another build: each tells all that its sender has out, so
+ * the next one mends what one missed, and an older one than was heard changes nothing.
+ *
+ * <p>Form, little-endian: version (1 byte), life of the sender (4), number within it (4), 1 where the workers
+ * are all that there are (1), count of tenants (1), for each its place (2) and its jobs a second in sixteenths
+ * (2), then for each worker the low 24 bits of its name's hash and the slots taken (4).
+ *
+ * <p>Danger: nothing that is heard makes a worker known or unknown; it is only ever looked up by workers that
+ * discovery named. What is kept is bounded by the number of dispatchers and by what a message can hold.
+ */
+public final class Gossip {
+    /** A message holds so many bytes at most. */
+    public static final int MOST = 256;
+    private static final byte VERSION = 1;
+    private static final int HEAD = 11;
+    private static final int ITEM = 4;
+    /** The busiest so many tenants are told of. */
+    private static final int TENANTS = 16;
+    private static final double RATE_UNIT = 16;
+    /** So much of the result is spent on messages at most, and no more often than this, in microseconds. */
+    private static final double SPEND = 0.004;
+    private static final long SOONEST = 20_000;
+    /** What is told less often than this is worth nothing: jobs have come and gone. */
+    private static final long LATEST = 1_000_000;
+    /** A dispatcher that is silent for so long counts for nothing. */
+    private static final long SILENT = 3 * LATEST;
+
+    /** What one other dispatcher told last. */
+    private static final class Peer {
+        int life;
+        int number;
+        long at;
+        final Map<Integer, Integer> slots = new HashMap<>();
+        final Map<Integer, Integer> rates = new HashMap<>();
+    }
+
+    private final int dispatchers;
+    private final double price;
+    private final int life;
+    private final Map<Integer, Peer> peers = new HashMap<>();
+    /** Sums over all that are heard. */
+    private final Map<Integer, Integer> slots = new HashMap<>();
+    private final Map<Integer, Integer> rates = new HashMap<>();
+    private int number;
+    private long nextAt;
+    private int turn;
+    private long malformed;
+
+    /**
+     * @param price of one full message for each job, in parts of the result
+     * @param life differs between two lives of one dispatcher
+     */
+    public Gossip(int dispatchers, double price, int life) {
+        this.dispatchers = dispatchers;
+        this.price = price;
+        this.life = life;
+    }
+
+    /** Whether it is time to tell; {@code jobsPerSecond} come to this dispatcher. */
+    public boolean due(long now, int workersInUse, double jobsPerSecond) {
+        if (dispatchers < 2 || now < nextAt) {
+            return false;
+        }
+        double bytes = Math.min(MOST, HEAD + ITEM * (workersInUse + TENANTS / 2.0));
+        double cost = (dispatchers - 1) * bytes / MOST * price;
+        double pause = Math.max(SOONEST, 1e6 * cost / SPEND / Math.max(1e-3, jobsPerSecond));
+        nextAt = now + (long) Math.min(pause, SILENT);
+        return pause <= LATEST;
+    }
+
+    /**
+     * A message of what this dispatcher has out; where not all fits, the next one goes on with the rest.
+     *
+     * @param names of workers with own jobs, or that had some when it told last
+     * @param taken slots taken at each of them
+     * @param perSecond each tenant's jobs a second here
+     */
+    public byte[] message(long[] names, double[] taken, double[] perSecond) {
+        Integer[] busiest = new Integer[perSecond.length];
+        Arrays.setAll(busiest, i -> i);
+        Arrays.sort(busiest, (a, b) -> Double.compare(perSecond[b], perSecond[a]));
+        int tenants = 0;
+        while (tenants < Math.min(TENANTS, busiest.length) && perSecond[busiest[tenants]] > 0) {
+            tenants++;
+        }
+        int room = (MOST - HEAD - ITEM * tenants) / ITEM;
+        int workers = Math.min(room, names.length);
+        ByteBuffer out = ByteBuffer.allocate(HEAD + ITEM * (tenants + workers))
+            .order(java.nio.ByteOrder.LITTLE_ENDIAN);
+        out.put(VERSION).putInt(life).putInt(++number).put((byte) (workers == names.length ? 1 : 0))
+            .put((byte) tenants);
+        for (int i = 0; i < tenants; i++) {
+            out.putShort((short) (int) busiest[i])
+                .putShort((short) Math.min(0xffff, Math.round(perSecond[busiest[i]] * RATE_UNIT)));
+        }
+        for (int i = 0; i < workers; i++, turn++) {
+            int at = Math.floorMod(workers < names.length ? turn : i, names.length);
+            out.putInt(tag(names[at]) | (int) Math.min(0xff, Math.round(taken[at])) << 24);
+        }
+        return out.array();
+    }
+
+    /** Takes in a message; what can't be one, or is of another version, is counted and left. */
+    public void heard(long now, int from, byte[] message) {
+        if (from < 0 || from >= dispatchers || message.length < HEAD || message.length > MOST
+            || message[0] != VERSION || (message.length - HEAD) % ITEM != 0
+            || message[HEAD - 1] < 0 || HEAD + ITEM * message[HEAD - 1] > message.length) {
+            malformed++;
+            return;
+        }
+        ByteBuffer in = ByteBuffer.wrap(message).order(java.nio.ByteOrder.LITTLE_ENDIAN);
+        Peer peer = peers.computeIfAbsent(from, f -> new Peer());
+        int its = in.getInt(1);
+        int no = in.getInt(5);
+        if (peer.at > 0 && its == peer.life && no - peer.number <= 0) {
+            return;
+        }
+        if (its != peer.life || message[9] == 1) {
+            forget(peer);
+        }
+        peer.life = its;
+        peer.number = no;
+        peer.at = now;
+        peer.rates.forEach((tenant, rate) -> rates.merge(tenant, -rate, Gossip::sum));
+        peer.rates.clear();
+        in.position(HEAD);
+        for (int i = 0; i < message[HEAD - 1]; i++) {
+            int tenant = in.getShort() & 0xffff;
+            int rate = in.getShort() & 0xffff;
+            if (peer.rates.putIfAbsent(tenant, rate) == null) {
+                rates.merge(tenant, rate, Gossip::sum);
+            }
+        }
+        while (in.hasRemaining()) {
+            int item = in.getInt();
+            Integer before = peer.slots.put(item & 0xffffff, item >>> 24);
+            slots.merge(item & 0xffffff, (item >>> 24) - (before == null ? 0 : before), Gossip::sum);
+        }
+        if (peer.slots.size() > MOST * MOST) {
+            forget(peer);
+        }
+    }
+
+    private static Integer sum(Integer a, Integer b) {
+        return a + b == 0 ? null : Integer.valueOf(a + b);
+    }
+
+    private void forget(Peer peer) {
+        peer.slots.forEach((tag, taken) -> slots.merge(tag, -taken, Gossip::sum));
+        peer.slots.clear();
+    }
+
+    /** Forgets those that have been silent for too long. */
+    public void expire(long now) {
+        peers.values().removeIf(peer -> {
+            boolean silent = now - peer.at > SILENT;
+            if (silent) {
+                forget(peer);
+                peer.rates.forEach((tenant, rate) -> rates.merge(tenant, -rate, Gossip::sum));
+            }
+            return silent;
+        });
+    }
+
+    /** How many others are heard at present. */
+    public int others() {
+        return peers.size();
+    }
+
+    /** Slots that the others' jobs take at a worker, as far as is heard. */
+    public double taken(long name) {
+        return slots.getOrDefault(tag(name), 0);
+    }
+
+    /** The others' jobs a second of a tenant, as far as is heard. */
+    public double perSecond(int tenant) {
+        return rates.getOrDefault(tenant, 0) / RATE_UNIT;
+    }
+
+    /** Messages that were none of this build's. */
+    public long malformed() {
+        return malformed;
+    }
+
+    private static int tag(long name) {
+        long mixed = (name ^ name >>> 29) * 0xbf58476d1ce4e5b9L;
+        return (int) (mixed >>> 40);
+    }
+}
--- a/src/main/java/gorserill/program/Fleet.java
+++ b/src/main/java/gorserill/program/Fleet.java
@@ -66,6 +66,10 @@
                     new Object[] {entry.name(), entry.address()});
                 continue;
             }
+            if (kind == ListKind.CHANGES && entry.equals(listed.get(entry.name()))) {
+                // Danger: where lists carry live weights each call names most workers, and nothing is new.
+                continue;
+            }
             long id = numbers.computeIfAbsent(entry.name(), n -> numbers.size() + 1L);
             HttpWorker worker = workers.computeIfAbsent(id,
                 i -> new HttpWorker(terms, entry.name(), address));
@@ -91,6 +95,9 @@
             ports.put(id, worker);
             entries.add(worker(id, entry));
         }
+        if (kind == ListKind.CHANGES && entries.isEmpty()) {
+            return;
+        }
         core.listed(kind, entries, ports);
         recall();
         if (!entries.isEmpty()) {
@@ -137,7 +144,16 @@
         WorkerState state = state(entry);
         return new Worker(id, place(kinds, entry.type()), place(zones, entry.zone()), entry.group(),
             state == WorkerState.READY && banned.test(entry.name()) ? WorkerState.DRAINING : state,
-            loop.fromUnixMillis(entry.since()));
+            loop.fromUnixMillis(entry.since()), name(entry.name()));
+    }
+
+    /** A number that every node makes of the same name (FNV-1a, 64 bits). */
+    private static long name(String text) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return hash;
     }
 
     /** How many workers the list holds. */
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -7,6 +7,7 @@
 import gorserill.common.Room;
 import gorserill.common.Siblings;
 import gorserill.protocol.Gate;
+import gorserill.protocol.Tenants;
 import gorserill.protocol.admin.AdminFront;
 import gorserill.protocol.admin.LineCodec;
 import gorserill.protocol.discovery.CallPace;
@@ -17,6 +18,7 @@
 import gorserill.protocol.http.HttpFront;
 import gorserill.protocol.http.HttpWatch;
 import gorserill.protocol.http.HttpWorker;
+import gorserill.protocol.peers.PeerPort;
 import gorserill.routing.Core;
 import gorserill.transport.Transport;
 import java.io.IOException;
@@ -54,6 +56,8 @@
     private Gate gate;
     private Fleet fleet;
     private HttpWatch watch;
+    /** Null where other nodes are not spoken to. */
+    private volatile PeerPort peers;
     private FaktoryFront faktory;
     private Lifecycle life;
     private Figures figures;
@@ -109,13 +113,14 @@
         fleet = new Fleet(loop, core, terms, config.zones, config.kinds, bans::has);
         Complaints answers =
             new Complaints(loop, Logger.getLogger(Gate.class.getName()), "workers' answers not as described");
+        Tenants tenants = new Tenants(config.tenantNames);
         if (config.faktory != null) {
             faktory = new FaktoryFront(loop, core, config.faktory,
-                new Gate(loop, config.keysFor(), answers), config.seed, room, bans::has);
+                tenants, new Gate(loop, config.keysFor(), answers), config.seed, room, bans::has);
         }
         gate = new Gate(loop, config.keysFor(), answers);
         gate.replace(config.contract);
-        front = new HttpFront(loop, core, config.classTerms(), gate, transport::crowded, room);
+        front = new HttpFront(loop, core, config.classTerms(), tenants, gate, transport::crowded, room);
         life = new Lifecycle(loop, config.name, core, faktory == null ? List.of(front)
             : List.of(front, faktory), config.passedSocket,
             () -> listeners.forEach(Transport.Listening::end), done::countDown);
@@ -137,6 +142,9 @@
             handover.keep(life::up);
         }
         loop.start();
+        if (config.peers != null) {
+            loop.execute(this::hearPeers);
+        }
         if (config.admin != null) {
             AdminFront admin = new AdminFront(loop, new OperatorCalls(life, maintenance, figures,
                 this::contracts, this::reload).byName());
@@ -168,6 +176,21 @@
         }
     }
 
+    /** Danger: the process before this one may hold the address until it ends; nothing waits for that. */
+    private void hearPeers() {
+        try {
+            peers = new PeerPort(loop, config.peers, core::heard);
+            core.peers(peers::tell);
+            LOG.log(Level.INFO, "{0} hears other nodes at {1}",
+                new Object[] {config.name, config.peers.listen()});
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "{0} can''t hear other nodes yet: {1}", new Object[] {config.name, e});
+            if (!life.ending()) {
+                loop.at(loop.now() + BIND_AGAIN, this::hearPeers);
+            }
+        }
+    }
+
     @FunctionalInterface
     private interface Binding {
         Transport.Listening bind() throws IOException;
@@ -310,6 +333,9 @@
 
     /** Lets go of everything at once. */
     void stop() {
+        if (peers != null) {
+            peers.stop();
+        }
         transport.stop();
         loop.stop();
     }
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -13,6 +13,7 @@
 import gorserill.protocol.discovery.Listing;
 import gorserill.protocol.faktory.FaktoryTerms;
 import gorserill.protocol.http.LoadNames;
+import gorserill.protocol.peers.PeerPort;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -53,6 +54,10 @@
     final List<String> zones;
     final List<String> kinds;
     final LoadNames reports;
+    /** Where other nodes are heard and spoken to; null where nowhere. */
+    final PeerPort.Addresses peers;
+    /** In the settings' order; none where the deployment has no tenants. */
+    final List<String> tenantNames;
     final long connectTimeout;
     final long connectionIdle;
     /** Null where the front is off. */
@@ -81,11 +86,22 @@
                 + (sockets - connectionBudget()));
         }
         SettingsParser parser = new SettingsParser(values);
+        Settings told;
         try {
-            settings = parser.settings();
+            told = parser.settings();
         } catch (IllegalArgumentException e) {
             throw new ConfigException("settings", e.getMessage());
         }
+        peers = told.signs().peers() ? peers(top, values) : null;
+        settings = peers == null ? told.withoutPeers() : told;
+        tenantNames = new ArrayList<>();
+        for (int t = 0; t < settings.tenants().size(); t++) {
+            String path = "tenants." + t + ".name";
+            if (!values.containsKey(path)) {
+                throw new ConfigException("settings." + path, "is missing");
+            }
+            tenantNames.add(values.get(path));
+        }
         classNames = new ArrayList<>();
         for (int c = 0; c < settings.classes().size(); c++) {
             String path = "request_classes." + c + ".name";
@@ -255,11 +271,20 @@
     }
 
     private static double number(Map<String, String> values, String key, double otherwise)
+        throws ConfigException {
+        double number = number(values, key, otherwise, 0);
+        if (number == 0) {
+            throw new ConfigException(key, "'" + values.get(key) + "' is no number above 0");
+        }
+        return number;
+    }
+
+    private static double number(Map<String, String> values, String key, double otherwise, double least)
         throws ConfigException {
         String text = values.get(key);
         try {
             double number = text == null ? otherwise : Double.parseDouble(text);
-            if (number > 0) {
+            if (number >= least) {
                 return number;
             }
         } catch (NumberFormatException e) {
@@ -268,6 +293,20 @@
         throw new ConfigException(key, "'" + text + "' is no number above 0");
     }
 
+    /** Null where the platform names no addresses, though it would allow messages. */
+    private static PeerPort.Addresses peers(Map<String, String> top, Map<String, String> values)
+        throws ConfigException {
+        if (!top.containsKey("peer_listen") || !top.containsKey("peers_all")) {
+            return null;
+        }
+        List<InetSocketAddress> nodes = new ArrayList<>();
+        for (String node : top.getOrDefault("peers", "").split(",")) {
+            nodes.add(address(node, "peers"));
+        }
+        return new PeerPort.Addresses(address(top, "peer_listen"), address(top, "peers_all"), nodes,
+            values.containsKey("me") ? (int) number(values, "me", -1, 0) : -1);
+    }
+
     /** The JVM can take over descriptor 0 and no other. */
     private static boolean passed(String text) throws ConfigException {
         if (text.matches("\\d+") && !text.equals("0")) {
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -17,6 +17,7 @@
 import gorserill.protocol.ClientFront;
 import gorserill.protocol.Gate;
 import gorserill.protocol.Intake;
+import gorserill.protocol.Tenants;
 import gorserill.protocol.faktory.FaktoryCodec.FrameException;
 import gorserill.routing.Ask;
 import gorserill.routing.Bond;
@@ -73,6 +74,8 @@
 
     private final Loop loop;
     private final Core core;
+    private final Tenants tenants;
+    private final long nodeName;
     private final Room room;
     private final Complaints complaints;
     private final Predicate<String> banned;
@@ -139,8 +142,10 @@
      * @param room in which the codec keeps lines; freed here when they are done with
      * @param banned which wids operators have taken out
      */
-    public FaktoryFront(Loop loop, Core core, FaktoryTerms terms, Gate gate, long seed, Room room,
-                        Predicate<String> banned) {
+    public FaktoryFront(Loop loop, Core core, FaktoryTerms terms, Tenants tenants, Gate gate, long seed,
+                        Room room, Predicate<String> banned) {
+        this.tenants = tenants;
+        nodeName = seed;
         this.gate = gate;
         gate.replace(terms.contract());
         this.banned = banned;
@@ -203,7 +208,9 @@
         int zone = FIRST_ZONE + (int) (worker.id - FIRST_WORKER);
         boolean out = member.state == WorkerState.READY && banned.test(worker.wid);
         WorkerState state = out ? WorkerState.DRAINING : member.state;
-        core.guest(new Worker(worker.id, ANY_KIND, zone, 0, state, 0), worker);
+        // Danger: no other node knows this worker, though its own guests have the same numbers.
+        long name = nodeName ^ worker.id * 0x9e3779b97f4a7c15L;
+        core.guest(new Worker(worker.id, ANY_KIND, zone, 0, state, 0, name), worker);
         if (out) {
             worker.takeOut();
         }
@@ -453,7 +460,8 @@
             push = taken;
             long handle = core.take(taken, new Work(job.jid(), of.index(), null, key,
                 FaktoryJob.MEDIA_TYPE, text.getBytes(StandardCharsets.UTF_8), bond),
-                new Ask(loop.now(), left, false, 0, 0, slots, 0));
+                new Ask(loop.now(), left, false, tenants.place(job.tenant()), 0, slots, 0,
+                    job.estimateUs()));
             taken.handle = handle;
         }
 
--- a/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
@@ -15,14 +15,16 @@
 
 /**
  * A work unit of the protocol, as far as the node reads it. What a client may add under {@code custom}:
- * {@code remaining_ms}, {@code idempotency_key}, {@code slots}.
+ * {@code remaining_ms}, {@code idempotency_key}, {@code slots}, {@code tenant}, {@code estimate_us}.
  *
  * @param reserveFor seconds; 0 where not told
  * @param at when to run it; null for now
  * @param slots that it takes of a worker; -1 where not told
+ * @param tenant whose job it is; null where not told
+ * @param estimateUs a guess at its work, microseconds of a standard core; 0 for none
  */
 record FaktoryJob(String jid, String jobtype, String queue, long reserveFor, String at, long remainingMs,
-                  String idempotencyKey, double slots) {
+                  String idempotencyKey, double slots, String tenant, long estimateUs) {
     /** The type of a body that is a whole work unit. */
     static final String MEDIA_TYPE = "application/vnd.faktory.job+json";
     static final String DEFAULT_QUEUE = "default";
@@ -45,6 +47,8 @@
         long remaining = -1;
         String key = null;
         double slots = -1;
+        String tenant = null;
+        long estimate = 0;
         try (JsonParser json = open(text)) {
             while (json.nextToken() != JsonToken.END_OBJECT) {
                 String field = json.currentName();
@@ -67,6 +71,8 @@
                                 case "remaining_ms" -> remaining = remaining(json);
                                 case "idempotency_key" -> key = json.getValueAsString();
                                 case "slots" -> slots = slots(json);
+                                case "tenant" -> tenant = json.getValueAsString();
+                                case "estimate_us" -> estimate = estimate(json);
                                 default -> json.skipChildren();
                             }
                         }
@@ -88,7 +94,8 @@
         } else if (!args) {
             throw new IOException("args must be a list");
         }
-        return new FaktoryJob(jid, jobtype, queue, reserveFor, at, remaining, key, slots);
+        return new FaktoryJob(jid, jobtype, queue, reserveFor, at, remaining, key, slots, tenant,
+            estimate);
     }
 
     private static double slots(JsonParser json) throws IOException {
@@ -99,6 +106,14 @@
         return slots;
     }
 
+    private static long estimate(JsonParser json) throws IOException {
+        if (json.currentToken() != JsonToken.VALUE_NUMBER_INT || json.getText().length() > 12
+            || json.getLongValue() < 0) {
+            throw new IOException("custom.estimate_us must be a whole number, 0 or more");
+        }
+        return json.getLongValue();
+    }
+
     /** The whole unit as a contract looks at it. */
     static JsonNode value(String text) throws IOException {
         try {
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -12,6 +12,7 @@
 import gorserill.protocol.ClientFront;
 import gorserill.protocol.Gate;
 import gorserill.protocol.Intake;
+import gorserill.protocol.Tenants;
 import gorserill.routing.Ask;
 import gorserill.routing.Core;
 import gorserill.routing.Front;
@@ -49,6 +50,7 @@
     private final Loop loop;
     private final Core core;
     private final Map<String, ClassTerms> classes;
+    private final Tenants tenants;
     private final Gate gate;
     private final BooleanSupplier crowded;
     private final Room room;
@@ -58,14 +60,16 @@
     private Intake intake = Intake.OPEN;
 
     /**
+     * @param tenants what {@code X-Org} can name
      * @param gate which holds requests against a contract, if there is one
      * @param room in which the codec keeps bodies; freed here when a request is over
      */
-    public HttpFront(Loop loop, Core core, Map<String, ClassTerms> classes, Gate gate,
+    public HttpFront(Loop loop, Core core, Map<String, ClassTerms> classes, Tenants tenants, Gate gate,
                      BooleanSupplier crowded, Room room) {
         this.loop = loop;
         this.core = core;
         this.classes = classes;
+        this.tenants = tenants;
         this.gate = gate;
         this.crowded = crowded;
         this.room = room;
@@ -285,8 +289,9 @@
                     long most = told == null ? terms.deadline() : told.within(terms.deadline());
                     double slots = told == null ? 1 : told.usualSlots();
                     ask = new Ask(request.arrived(), labels.remaining(most),
-                        "1".equals(head.header("x-resent")), 0, labels.key(),
-                        labels.number("slots", "width", slots), labels.number("memory", "ram_units", 0));
+                        "1".equals(head.header("x-resent")), tenants.place(head.header("x-org")), labels.key(),
+                        labels.number("slots", "width", slots), labels.number("memory", "ram_units", 0),
+                        labels.estimate());
                 } catch (NumberFormatException e) {
                     reject(400, "an unreadable number in the headers: " + e.getMessage());
                     return;
--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -52,6 +52,7 @@
     private InetSocketAddress address;
     private final Deque<Link> idle = new ArrayDeque<>();
     private final Map<Attempt, Link> busy = new HashMap<>();
+    private HttpProbe probe;
 
     public HttpWorker(Terms terms, String name, InetSocketAddress address) {
         this.terms = terms;
@@ -74,6 +75,9 @@
 
     /** Closes the connections that are not in use. */
     public void closeIdle() {
+        if (probe != null) {
+            probe.end();
+        }
         for (Link link : List.copyOf(idle)) {
             link.shut();
         }
@@ -107,6 +111,18 @@
         link.start(attempt, work, expires);
     }
 
+    @Override
+    public void probe(Consumer<Load> answer) {
+        if (probe == null || probe.over()) {
+            probe = new HttpProbe(terms, name);
+        }
+        if (probe.free()) {
+            probe.ask(address, answer);
+        } else {
+            answer.accept(Load.NONE);
+        }
+    }
+
     @Override
     public boolean callOff(Attempt attempt) {
         Link link = busy.get(attempt);
--- a/src/main/java/gorserill/protocol/http/JobEvent.java
+++ b/src/main/java/gorserill/protocol/http/JobEvent.java
@@ -55,7 +55,8 @@
         return new JobEvent(id, state, result, load);
     }
 
-    private static Load load(JsonParser json, LoadNames reports) throws IOException {
+    /** A report whose opening brace is the parser's present token. */
+    static Load load(JsonParser json, LoadNames reports) throws IOException {
         double slots = Double.NaN;
         double memory = Double.NaN;
         while (json.nextToken() != JsonToken.END_OBJECT) {
--- a/src/main/java/gorserill/protocol/http/Labels.java
+++ b/src/main/java/gorserill/protocol/http/Labels.java
@@ -38,6 +38,19 @@
         return Math.min(most, left * 1_000L);
     }
 
+    /** A guess at its work in microseconds, 0 for none. */
+    long estimate() {
+        String micros = head.header("x-estimate");
+        if (micros == null) {
+            return 0;
+        }
+        // Danger: a guess that overflows, or is below zero, would be learned from.
+        if (!micros.matches("[0-9]{1,12}")) {
+            throw new NumberFormatException("X-Estimate: " + micros);
+        }
+        return Long.parseLong(micros);
+    }
+
     /** What the request is about, 0 for nothing. A key that is no hexadecimal number is hashed. */
     long key() {
         String entity = head.header("x-entity");
--- a/src/main/java/gorserill/routing/Ask.java
+++ b/src/main/java/gorserill/routing/Ask.java
@@ -6,10 +6,17 @@
  * @param arrived when the request's last byte came
  * @param timeLeft how long the client waits, from then on
  * @param repeat whether it says that it asks again
- * @param tenant its place in the settings' list; any number where that is empty
+ * @param tenant its place in the settings' list; -1 where it is none of these
  * @param key what the job is about; 0 for nothing
  * @param slots slots that it takes of a worker
  * @param memory memory units that it takes
+ * @param hint a rough guess at its work, microseconds of a standard core; 0 for none
  */
 public record Ask(long arrived, long timeLeft, boolean repeat, int tenant, long key, double slots,
-                  double memory) { }
+                  double memory, long hint) {
+    /** A job that comes without a guess at its work. */
+    public Ask(long arrived, long timeLeft, boolean repeat, int tenant, long key, double slots,
+               double memory) {
+        this(arrived, timeLeft, repeat, tenant, key, slots, memory, 0);
+    }
+}
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -47,6 +48,7 @@
     private int open;
     private long answerBy = Long.MAX_VALUE;
     private Runnable whenIdle;
+    private Consumer<byte[]> peers = message -> { };
 
     /** The same for a process that has no siblings. */
     public Core(Loop loop, Settings settings, long seed, Runnable watch) {
@@ -103,7 +105,7 @@
         // up on the job. Only a client that says so does; the core itself keeps the client's own time.
         long told = ask.repeat() ? ask.timeLeft() : Math.max(ask.timeLeft(), of.deadline());
         module.request(now, request.handle, work.jobClass(), ask.tenant(), ask.key(), told, ask.slots(),
-            ask.memory(), request.effect);
+            ask.memory(), request.effect, ask.hint());
         return request.handle;
     }
 
@@ -179,6 +181,16 @@
         module.recall(now(), learned);
     }
 
+    /** Where messages to all other nodes go. */
+    public void peers(Consumer<byte[]> tell) {
+        peers = tell;
+    }
+
+    /** A message of another node, by its number. */
+    public void heard(int node, byte[] message) {
+        module.heard(now(), node, message);
+    }
+
     /** Whether nothing new goes to a worker at present. */
     public boolean avoids(long worker) {
         return module.avoids(now(), worker);
@@ -400,6 +412,21 @@
         loop.at(time, () -> module.timer(now()));
     }
 
+    @Override
+    public void tell(byte[] message) {
+        peers.accept(message);
+    }
+
+    @Override
+    public void probe(long worker) {
+        WorkerPort port = ports.get(worker);
+        if (port != null) {
+            // Its answer comes as an event of its own: the module is in the middle of a call.
+            port.probe(load -> loop.execute(() ->
+                module.probed(now(), worker, load.freeSlots(), load.freeMemory())));
+        }
+    }
+
     @Override
     public void watchList() {
         watch.run();
--- a/src/main/java/gorserill/routing/WorkerPort.java
+++ b/src/main/java/gorserill/routing/WorkerPort.java
@@ -1,5 +1,7 @@
 package gorserill.routing;
 
+import java.util.function.Consumer;
+
 /** A worker that the core can send attempts to; called on the core's thread. */
 public interface WorkerPort {
     /**
@@ -16,4 +18,9 @@
      * @return true where the job provably was never handed to the worker
      */
     boolean callOff(Attempt attempt);
+
+    /** Asks the worker for its load; told once, {@link Load#NONE} where nothing is learned. */
+    default void probe(Consumer<Load> answer) {
+        answer.accept(Load.NONE);
+    }
 }
