A job whose client waits less than usual takes only what is left over

Cause: Core.take tells the module the class's whole time for whoever does not mark a repeat (for a client that is merely impatient is no repeat), so they bought slots at full worth.

Change: HttpFront tells a job doubtful whose client brings less than four fifths of the last 64 of its class do; the module sells such jobs what is left over, and takes nothing off the tenant's share for them.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -97,10 +97,11 @@
         shares = new Shares(settings.tenants(), settings.dispatchers());
         ledger.fetch = period;
         ledger.clock(now);
-        gossip = settings.signs().peers()
-            ? new Gossip(settings.dispatchers(), settings.signs().peerPrice(), (int) random.nextLong()) : null;
-        prober = settings.signs().probes() && settings.signs().reportsByProbe()
-            ? new Prober(settings.dispatchers(), settings.signs().probePrice()) : null;
+        Dispatcher.Signs signs = settings.signs();
+        gossip = !signs.peers() ? null
+            : new Gossip(settings.dispatchers(), signs.peerPrice(), (int) random.nextLong());
+        prober = !signs.probes() || !signs.reportsByProbe() ? null
+            : new Prober(settings.dispatchers(), signs.probePrice());
         // Danger: dispatchers whose periods align swing together, so the seed spreads their phase.
         nextPeriod = now + 1 + random.nextLong(period);
         out.timerAt(nextPeriod);
@@ -113,7 +114,7 @@
 
     @Override
     public void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
-                        double memory, Effect atLeast, long hint) {
+                        double memory, Effect atLeast, long hint, boolean doubtful) {
         ledger.clock(now);
         if (jobClass < 0 || jobClass >= longestTry.length || ledger.jobs.containsKey(id)) {
             throw new IllegalArgumentException("request " + id + ": unknown class or id still held");
@@ -124,7 +125,8 @@
         good.asked(taken, hint);
         longestTry[jobClass] = Math.max(longestTry[jobClass], timeLeft);
         long age = timeLeft < longestTry[jobClass] ? Math.max(0, good.of.deadline() - timeLeft) : 0;
-        boolean overShare = !shares.within(tenant, age < period);
+        // Danger: where nothing marks repeats, late ones would crowd out those that can be in time.
+        boolean overShare = !shares.within(tenant, age < period && !doubtful) || doubtful;
         double worth = good.of.worth() * (overShare ? settings.overShareWorth() : 1);
         double size = good.size(hint);
         double spare = good.of.aim() + Math.max(0, good.of.stretch() - 1) * good.run * size;
@@ -355,7 +357,7 @@
         }
     }
 
-    /** Asks those for their load that were not asked for longest. Others who tell theirs tell more, for less. */
+    /** Asks those that were not asked for longest. What others tell of their jobs says more, for less. */
     private void probe(long now) {
         boolean told = gossip != null && gossip.others() > 0;
         int due = prober == null || told ? 0 : prober.due(now, sellers.size(), shares.jobsPerSecond());
--- a/src/main/java/barrowflow/Dispatcher.java
+++ b/src/main/java/barrowflow/Dispatcher.java
@@ -187,14 +187,15 @@
      * @param memory memory units that it takes; 0 where none are counted
      * @param atLeast what this job says of its effect; the stricter of this and its class's holds
      * @param hint a rough guess at its work, microseconds of a standard core; 0 for none
+     * @param doubtful it may be one that was asked for before, whose time to be worth something is over
      */
     void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
-                 double memory, Effect atLeast, long hint);
+                 double memory, Effect atLeast, long hint, boolean doubtful);
 
     /** The same for a job that comes with no hint. */
     default void request(long now, long id, int jobClass, int tenant, long key, long timeLeft, double slots,
                          double memory, Effect atLeast) {
-        request(now, id, jobClass, tenant, key, timeLeft, slots, memory, atLeast, 0);
+        request(now, id, jobClass, tenant, key, timeLeft, slots, memory, atLeast, 0, false);
     }
 
     /** The same for a job that is like all of its class. */
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -225,7 +225,8 @@
 
     /** A job is over. What is over its tenant's share is worth little to the goal, and counts for nothing. */
     void count(Job job, Goal goal, boolean inTime) {
-        double worth = job.over || job.overShare ? 0 : goal.byWork() ? job.good.run * job.size * job.slots : 1;
+        double work = job.good.run * job.size * job.slots;
+        double worth = job.over || job.overShare ? 0 : goal.byWork() ? work : 1;
         job.good.asked += worth;
         job.good.got += inTime ? worth : 0;
     }
--- a/src/main/java/barrowflow/adapter/Adapter.java
+++ b/src/main/java/barrowflow/adapter/Adapter.java
@@ -144,7 +144,7 @@
             to.tenants ? frame.getShort(at + 11) & 0xffff : 0, frame.getLong(at + 13),
             frame.getInt(at + 21) & 0xffffffffL, frame.getFloat(at + 29), frame.getFloat(at + 33),
             Effect.SAFE, (frame.getShort(at + 37) & HINT_VALID) == 0 ? 0
-                : frame.getInt(at + 25) & 0xffffffffL);
+                : frame.getInt(at + 25) & 0xffffffffL, false);
     }
 
     private void settled(Instance to, int at) {
--- a/src/main/java/barrowflow/gossip/Gossip.java
+++ b/src/main/java/barrowflow/gossip/Gossip.java
@@ -11,8 +11,8 @@
  * the next one mends what one missed, and an older one than was heard changes nothing.
  *
  * <p>Form, little-endian: version (1 byte), life of the sender (4), number within it (4), 1 where the workers
- * are all that there are (1), count of tenants (1), for each its place (2) and its jobs a second in sixteenths
- * (2), then for each worker the low 24 bits of its name's hash and the slots taken (4).
+ * are all that there are (1), count of tenants (1), for each its place (2) and its jobs a second in
+ * sixteenths (2), then for each worker the low 24 bits of its name's hash and the slots taken (4).
  *
  * <p>Danger: nothing that is heard makes a worker known or unknown; it is only ever looked up by workers that
  * discovery named. What is kept is bounded by the number of dispatchers and by what a message can hold.
--- a/src/main/java/barrowflow/gossip/package-info.java
+++ b/src/main/java/barrowflow/gossip/package-info.java
@@ -1,2 +1,2 @@
-/** What dispatchers tell one another where they may: when and what, and what is believed; no I/O, no clock. */
+/** What dispatchers tell one another where they may: when, what, and what is believed. No I/O, no clock. */
 package barrowflow.gossip;
--- a/src/main/java/gorserill/protocol/Tenants.java
+++ b/src/main/java/gorserill/protocol/Tenants.java
@@ -7,9 +7,9 @@
 import java.util.logging.Logger;
 
 /**
- * The tenants that the settings name, for both fronts. Whoever is none of them, or says nothing, is one of the
- * rest, which has no share: its jobs take only what is left over, and so it is no way round the shares. What
- * is kept does not grow with the names that clients think up.
+ * The tenants that the settings name, for both fronts. Whoever is none of them, or says nothing, is one of
+ * the rest, which has no share: its jobs take only what is left over, and so it is no way round the shares.
+ * What is kept does not grow with the names that clients think up.
  */
 public final class Tenants {
     private static final Logger LOG = Logger.getLogger(Tenants.class.getName());
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -461,7 +461,7 @@
             long handle = core.take(taken, new Work(job.jid(), of.index(), null, key,
                 FaktoryJob.MEDIA_TYPE, text.getBytes(StandardCharsets.UTF_8), bond),
                 new Ask(loop.now(), left, false, tenants.place(job.tenant()), 0, slots, 0,
-                    job.estimateUs()));
+                    job.estimateUs(), false));
             taken.handle = handle;
         }
 
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -12,6 +12,7 @@
 import gorserill.protocol.ClientFront;
 import gorserill.protocol.Gate;
 import gorserill.protocol.Intake;
+import gorserill.protocol.Patience;
 import gorserill.protocol.Tenants;
 import gorserill.routing.Ask;
 import gorserill.routing.Core;
@@ -22,6 +23,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -55,6 +57,7 @@
     private final BooleanSupplier crowded;
     private final Room room;
     private final Complaints complaints;
+    private final Map<Integer, Patience> patience = new HashMap<>();
     private final Set<Client> clients = new HashSet<>();
     private boolean ready;
     private Intake intake = Intake.OPEN;
@@ -288,10 +291,13 @@
                     Terms told = admission == null ? null : admission.verdict().operation().terms();
                     long most = told == null ? terms.deadline() : told.within(terms.deadline());
                     double slots = told == null ? 1 : told.usualSlots();
-                    ask = new Ask(request.arrived(), labels.remaining(most),
-                        "1".equals(head.header("x-resent")), tenants.place(head.header("x-org")), labels.key(),
+                    boolean repeat = "1".equals(head.header("x-resent"));
+                    boolean less = patience.computeIfAbsent(terms.index(), c -> new Patience())
+                        .less(labels.remaining(terms.deadline()));
+                    ask = new Ask(request.arrived(), labels.remaining(most), repeat,
+                        tenants.place(head.header("x-org")), labels.key(),
                         labels.number("slots", "width", slots), labels.number("memory", "ram_units", 0),
-                        labels.estimate());
+                        labels.estimate(), less && !repeat);
                 } catch (NumberFormatException e) {
                     reject(400, "an unreadable number in the headers: " + e.getMessage());
                     return;
--- a/src/main/java/gorserill/protocol/http/HttpProbe.java
+++ b/src/main/java/gorserill/protocol/http/HttpProbe.java
@@ -15,8 +15,8 @@
 import java.util.function.Consumer;
 
 /**
- * Asks one worker for its load, {@code GET /load}, one call at a time on a connection of its own, kept for the
- * next one. What is refused, late, cut off, too long or no report counts as nothing told.
+ * Asks one worker for its load, {@code GET /load}, one call at a time on a connection of its own, kept for
+ * the next one. What is refused, late, cut off, too long or no report counts as nothing told.
  */
 final class HttpProbe implements Peer {
     private static final JsonFactory JSON = new JsonFactory();
--- a/src/main/java/gorserill/protocol/peers/package-info.java
+++ b/src/main/java/gorserill/protocol/peers/package-info.java
@@ -1,2 +1,2 @@
-/** Messages between nodes, over UDP: who sent one and who gets one. What they say is the module's business. */
+/** Messages between nodes, over UDP: who sent one and who gets it. What they say is the module's matter. */
 package gorserill.protocol.peers;
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -105,7 +105,7 @@
         // up on the job. Only a client that says so does; the core itself keeps the client's own time.
         long told = ask.repeat() ? ask.timeLeft() : Math.max(ask.timeLeft(), of.deadline());
         module.request(now, request.handle, work.jobClass(), ask.tenant(), ask.key(), told, ask.slots(),
-            ask.memory(), request.effect, ask.hint());
+            ask.memory(), request.effect, ask.hint(), ask.doubtful());
         return request.handle;
     }
 
--- a/src/main/java/gorserill/transport/Datagrams.java
+++ b/src/main/java/gorserill/transport/Datagrams.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -22,9 +23,9 @@
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
- * One UDP socket, with a selector thread of its own: datagrams go out from where they come in. It is made only
- * where something is to be sent that way. What comes in is handed to the loop; datagrams that come faster than
- * the loop takes them are dropped, since whoever sends them counts on some being lost.
+ * One UDP socket, with a selector thread of its own: datagrams go out from where they come in. It is made
+ * only where something is to be sent that way. What comes in is handed to the loop; datagrams that come
+ * faster than the loop takes them are dropped, since whoever sends them counts on some being lost.
  */
 public final class Datagrams {
     private static final Logger LOG = Logger.getLogger(Datagrams.class.getName());
@@ -34,8 +35,7 @@
     private final Loop loop;
     private final UDPNIOTransport nio;
     private final Connection<SocketAddress> socket;
-    private final java.util.concurrent.atomic.AtomicInteger waiting =
-        new java.util.concurrent.atomic.AtomicInteger();
+    private final AtomicInteger waiting = new AtomicInteger();
     private volatile long dropped;
 
     /**
