Cold workers sold to by what the other dispatchers tell of their jobs there

Cause: Choice.supplyCold keeps three standard deviations below the limit, since dispatchers that tell each other nothing may send together; at 15 % of capacity that leaves six tenths of what the worker runs. Change: where others are heard the lot is drawn in the mean, and a cold worker is sold to only while it holds at most 1.5 times what it can run, or half of what would push it over, by all that is told (hasRoom). Gossip keeps two lives of a dispatcher, so that one that ends beside its successor still counts.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -46,6 +46,8 @@
     private static final int COPY_AFTER = 2;
     /** Standard deviations of chance kept below a cold worker's limit. */
     private static final double COLD_SIGMAS = 3;
+    /** A cold worker of which others tell holds so many times what it can run at the most. */
+    private static final double COLD_QUEUE = 1.5;
     /** A drawn job stands for this part of the window in which a cold worker can be pushed over. */
     private static final double TOKEN = 0.25;
     /** Danger: a worker that is not there uses up the attempts of job after job; it is barred for longer. */
@@ -151,7 +153,8 @@
         for (Seller s : sellers) {
             boolean crosses = s.worker.zone() != settings.zone();
             if (crosses && home && !s.owed || !able(s, job, now) || reportsFull(s, job, now)
-                || s.price[good.index] > most || job.out > 0 && !hasRoom(s, job, now)) {
+                || s.price[good.index] > most
+                || (job.out > 0 || told() && cold(s, now)) && !hasRoom(s, job, now)) {
                 continue;
             }
             if (s.quota[good.index] <= 0) {
@@ -229,9 +232,17 @@
             && now - s.reportAt < job.good.run * s.pace / ledger.slots(s);
     }
 
-    /** Danger: where a cancel stops no work, a copy runs to its end; it may take only what nobody needs. */
+    /**
+     * Danger: where a cancel stops no work, a copy runs to its end; it may take only what nobody needs. A
+     * cold worker may hold a little more than it can run, up to half of what would push it over with the jobs
+     * that it ends meanwhile; the other half is for those not heard of yet.
+     */
     private boolean hasRoom(Seller s, Job job, long now) {
-        return job.slots + s.busy + s.out <= ledger.slots(s) * ledger.warmth(s, now);
+        Cold cold = settings.cold();
+        double more = (cold.fallMultiple() - 1) * cold.fallWindow() / 2 / (hold * s.pace);
+        double most = ledger.slots(s) * ledger.warmth(s, now)
+            * (job.out > 0 ? 1 : Math.min(COLD_QUEUE, more));
+        return s.busy + s.out <= 0 || job.slots + s.busy + s.out <= most;
     }
 
     private boolean able(Seller s, Job job, long now) {
@@ -253,16 +264,9 @@
 
     private void send(Job job, Seller s, long now) {
         Attempt a = new Attempt(job, s, now, runAt(s, job), ledger.miss(s, job.key));
-        job.attempts.add(a);
-        job.out++;
-        job.isHeld = false;
-        s.owed = false;
         open.add(a);
         s.sold(job.good, cold(s, now));
-        s.credit -= a.expected * job.slots;
-        s.freeSlots -= job.slots;
-        s.out += job.slots;
-        s.freeMemory -= job.memory;
+        ledger.sent(a);
         out.send(job.id, s.worker.id());
     }
 
@@ -346,6 +350,10 @@
         out.timerAt(nextPeriod);
     }
 
+    private boolean told() {
+        return gossip != null && gossip.others() > 0;
+    }
+
     /** Tells the others what is out, and counts what they have out where they were heard. */
     private void gossip(long now) {
         if (gossip != null) {
@@ -359,8 +367,7 @@
 
     /** Asks those that were not asked for longest. What others tell of their jobs says more, for less. */
     private void probe(long now) {
-        boolean told = gossip != null && gossip.others() > 0;
-        int due = prober == null || told ? 0 : prober.due(now, sellers.size(), shares.jobsPerSecond());
+        int due = prober == null || told() ? 0 : prober.due(now, sellers.size(), shares.jobsPerSecond());
         for (Seller s : ledger.longestUnasked(due)) {
             s.probedAt = now;
             out.probe(s.worker.id());
@@ -535,16 +542,18 @@
 
     /**
      * Danger: dispatchers that each save up a job for a cold worker send them together and push it over. So
-     * its quota is drawn by lot, a job at a time, at a rate that keeps the sum of all under its limit by some
-     * standard deviations, at the slowest warming allowed. A good is drawn as often as it is asked for.
+     * its quota is drawn by lot, a job at a time, at a rate that keeps the sum of all under its limit, at the
+     * slowest warming allowed: by some standard deviations, or in the mean where the others tell what they
+     * have there. A good is drawn as often as it is asked for.
      */
     private void supplyCold(Seller s, long now) {
         Cold cold = settings.cold();
         double capacity = ledger.warmth(s, now) * ledger.slots(s) * cold.fallWindow();
         Good g = lastAsked;
         double cost = g == null ? capacity : s.cost(g);
-        double root = (Math.sqrt(COLD_SIGMAS * COLD_SIGMAS * cost + 4 * cold.fallMultiple() * capacity)
-            - COLD_SIGMAS * Math.sqrt(cost)) / 2;
+        double sigmas = told() ? 0 : COLD_SIGMAS;
+        double root = (Math.sqrt(sigmas * sigmas * cost + 4 * cold.fallMultiple() * capacity)
+            - sigmas * Math.sqrt(cost)) / 2;
         double jobs = Math.min(root * root / (1 + TOKEN), 2 * capacity) / cost / settings.dispatchers();
         boolean drawn = g != null && random.nextDouble() < jobs * period / cold.fallWindow();
         s.lapses = drawn ? now + (long) (TOKEN * cold.fallWindow()) : 0;
@@ -562,14 +571,8 @@
         if (a == null || a.startedAt > 0) {
             return;
         }
-        a.startedAt = now;
         Seller s = a.seller;
-        s.signAt = now;
-        s.failures = 0;
-        s.barredUntil = s.errors > 0 ? s.barredUntil : now;
-        s.running += a.job.slots;
-        ledger.slotsSeen(s, s.running);
-        s.reach = Math.min(s.reach, now - a.sentAt);
+        ledger.began(a, now);
         s.waited = now - a.sentAt > patience(a) ? now - a.sentAt : 0;
         s.waitedAt = now;
         judge(a, now);
@@ -614,18 +617,10 @@
         }
         Job job = a.job;
         Seller s = a.seller;
-        a.ended = true;
-        a.neverRan = outcome.neverRan;
         open.remove(a);
-        job.out--;
-        if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMEOUT) {
-            ledger.ghost(a, (long) ((a.startedAt > 0 ? a.startedAt : now + wait(s, job, now)) + a.expected));
-        } else {
-            s.out -= job.slots;
-        }
-        s.running -= a.startedAt > 0 ? job.slots : 0;
+        double start = a.startedAt > 0 ? a.startedAt : now + wait(s, job, now);
+        ledger.ended(a, now, outcome, (long) (start + a.expected));
         ledger.reported(s, now, freeSlots, freeMemory);
-        s.signAt = outcome == Outcome.SERVED || outcome == Outcome.FULL ? now : s.signAt;
         switch (outcome) {
             case SERVED -> learn(a, now);
             case FULL -> {
@@ -654,8 +649,7 @@
         Seller s = a.seller;
         Good g = a.job.good;
         s.errors /= 2;
-        s.failures = 0;
-        s.barredUntil = s.errors > 0 ? s.barredUntil : now;
+        s.isWell(now);
         double run = now - (a.startedAt > 0 ? a.startedAt : a.sentAt);
         if (!settings.startNotices()) {
             judge(a, now);
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -5,6 +5,7 @@
 import barrowflow.Dispatcher.Goal;
 import barrowflow.Dispatcher.JobClass;
 import barrowflow.Dispatcher.Learned;
+import barrowflow.Dispatcher.Outcome;
 import barrowflow.Dispatcher.Worker;
 import barrowflow.Dispatcher.WorkerState;
 import barrowflow.gossip.Gossip;
@@ -97,12 +98,7 @@
         return true;
     }
 
-    /** An attempt that was called off, or not waited for, may run on: its slots count as taken until then. */
-    void ghost(Attempt a, long until) {
-        a.runsOnUntil = until;
-        ghosts.add(a);
-    }
-
+    /** Attempts that ran on for as long as they may take no slots any more. */
     void lapse(long now) {
         ghosts.removeIf(a -> {
             a.seller.out -= now >= a.runsOnUntil ? a.job.slots : 0;
@@ -231,6 +227,50 @@
         job.good.got += inTime ? worth : 0;
     }
 
+    void sent(Attempt a) {
+        Job job = a.job;
+        Seller s = a.seller;
+        job.attempts.add(a);
+        job.out++;
+        job.isHeld = false;
+        s.owed = false;
+        s.credit -= a.expected * job.slots;
+        s.freeSlots -= job.slots;
+        s.out += job.slots;
+        s.freeMemory -= job.memory;
+    }
+
+    void began(Attempt a, long now) {
+        Seller s = a.seller;
+        a.startedAt = now;
+        s.signAt = now;
+        s.isWell(now);
+        s.running += a.job.slots;
+        slotsSeen(s, s.running);
+        s.reach = Math.min(s.reach, now - a.sentAt);
+    }
+
+    /**
+     * An attempt has its outcome. Danger: one that was called off, or is not waited for any more, may run on:
+     * taken for gone, the slots that it holds would be sold a second time.
+     *
+     * @param runsOnUntil when it is likely to be done, if it does
+     */
+    void ended(Attempt a, long now, Outcome outcome, long runsOnUntil) {
+        Seller s = a.seller;
+        a.ended = true;
+        a.neverRan = outcome.neverRan;
+        a.job.out--;
+        if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMEOUT) {
+            a.runsOnUntil = runsOnUntil;
+            ghosts.add(a);
+        } else {
+            s.out -= a.job.slots;
+        }
+        s.running -= a.startedAt > 0 ? a.job.slots : 0;
+        s.signAt = outcome == Outcome.SERVED || outcome == Outcome.FULL ? now : s.signAt;
+    }
+
     /** What a worker tells of its room; NaN where it does not. */
     void reported(Seller s, long now, double freeSlots, double freeMemory) {
         if (!Double.isNaN(freeSlots)) {
@@ -454,6 +494,11 @@
             return g.cost() * pace;
         }
 
+        void isWell(long now) {
+            failures = 0;
+            barredUntil = errors > 0 ? barredUntil : now;
+        }
+
         /** A price moves within a span of the good's value, and not below the floor. */
         void move(Good g, double factor, double floor, double span) {
             price[g.index] = Math.max(floor, Math.min(span, price[g.index] * Math.max(0, factor)));
--- a/src/main/java/barrowflow/gossip/Gossip.java
+++ b/src/main/java/barrowflow/gossip/Gossip.java
@@ -1,6 +1,7 @@
 package barrowflow.gossip;
 
 import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
@@ -26,6 +27,8 @@
     /** The busiest so many tenants are told of. */
     private static final int TENANTS = 16;
     private static final double RATE_UNIT = 16;
+    /** Of one dispatcher that can't name all of its workers in a message, so many are kept. */
+    private static final int MOST_TAGS = 4096;
     /** So much of the result is spent on messages at most, and no more often than this, in microseconds. */
     private static final double SPEND = 0.004;
     private static final long SOONEST = 20_000;
@@ -34,9 +37,14 @@
     /** A dispatcher that is silent for so long counts for nothing. */
     private static final long SILENT = 3 * LATEST;
 
+    /** So many lives of a dispatcher are heard: one that ends, beside the one that takes its place. */
+    private static final int LIVES = 2;
+
+    /** Who tells: a life of a dispatcher. */
+    private record Speaker(int from, int life) { }
+
     /** What one other dispatcher told last. */
     private static final class Peer {
-        int life;
         int number;
         long at;
         final Map<Integer, Integer> slots = new HashMap<>();
@@ -46,7 +54,7 @@
     private final int dispatchers;
     private final double price;
     private final int life;
-    private final Map<Integer, Peer> peers = new HashMap<>();
+    private final Map<Speaker, Peer> peers = new HashMap<>();
     /** Sums over all that are heard. */
     private final Map<Integer, Integer> slots = new HashMap<>();
     private final Map<Integer, Integer> rates = new HashMap<>();
@@ -95,7 +103,7 @@
         int room = (MOST - HEAD - ITEM * tenants) / ITEM;
         int workers = Math.min(room, names.length);
         ByteBuffer out = ByteBuffer.allocate(HEAD + ITEM * (tenants + workers))
-            .order(java.nio.ByteOrder.LITTLE_ENDIAN);
+            .order(ByteOrder.LITTLE_ENDIAN);
         out.put(VERSION).putInt(life).putInt(++number).put((byte) (workers == names.length ? 1 : 0))
             .put((byte) tenants);
         for (int i = 0; i < tenants; i++) {
@@ -117,21 +125,24 @@
             malformed++;
             return;
         }
-        ByteBuffer in = ByteBuffer.wrap(message).order(java.nio.ByteOrder.LITTLE_ENDIAN);
-        Peer peer = peers.computeIfAbsent(from, f -> new Peer());
-        int its = in.getInt(1);
+        ByteBuffer in = ByteBuffer.wrap(message).order(ByteOrder.LITTLE_ENDIAN);
+        Speaker speaker = new Speaker(from, in.getInt(1));
         int no = in.getInt(5);
-        if (peer.at > 0 && its == peer.life && no - peer.number <= 0) {
+        Peer known = peers.get(speaker);
+        if (known != null && no - known.number <= 0) {
             return;
         }
-        if (its != peer.life || message[9] == 1) {
+        Peer peer = known == null ? new Peer() : known;
+        if (known == null) {
+            makeRoom(from);
+            peers.put(speaker, peer);
+        }
+        if (message[9] == 1 || peer.slots.size() > MOST_TAGS) {
             forget(peer);
         }
-        peer.life = its;
         peer.number = no;
         peer.at = now;
-        peer.rates.forEach((tenant, rate) -> rates.merge(tenant, -rate, Gossip::sum));
-        peer.rates.clear();
+        forgetRates(peer);
         in.position(HEAD);
         for (int i = 0; i < message[HEAD - 1]; i++) {
             int tenant = in.getShort() & 0xffff;
@@ -145,8 +156,22 @@
             Integer before = peer.slots.put(item & 0xffffff, item >>> 24);
             slots.merge(item & 0xffffff, (item >>> 24) - (before == null ? 0 : before), Gossip::sum);
         }
-        if (peer.slots.size() > MOST * MOST) {
-            forget(peer);
+    }
+
+    /** Danger: whoever sends under ever new lives must not fill the memory; the longest silent one goes. */
+    private void makeRoom(int from) {
+        Speaker oldest = null;
+        int lives = 0;
+        for (Map.Entry<Speaker, Peer> e : peers.entrySet()) {
+            if (e.getKey().from() == from) {
+                lives++;
+                oldest = oldest == null || e.getValue().at < peers.get(oldest).at ? e.getKey() : oldest;
+            }
+        }
+        if (lives >= LIVES) {
+            Peer gone = peers.remove(oldest);
+            forget(gone);
+            forgetRates(gone);
         }
     }
 
@@ -159,19 +184,24 @@
         peer.slots.clear();
     }
 
+    private void forgetRates(Peer peer) {
+        peer.rates.forEach((tenant, rate) -> rates.merge(tenant, -rate, Gossip::sum));
+        peer.rates.clear();
+    }
+
     /** Forgets those that have been silent for too long. */
     public void expire(long now) {
         peers.values().removeIf(peer -> {
             boolean silent = now - peer.at > SILENT;
             if (silent) {
                 forget(peer);
-                peer.rates.forEach((tenant, rate) -> rates.merge(tenant, -rate, Gossip::sum));
+                forgetRates(peer);
             }
             return silent;
         });
     }
 
-    /** How many others are heard at present. */
+    /** How many others are heard at present, a dispatcher's two lives counted as two. */
     public int others() {
         return peers.size();
     }
