Unsafe jobs kept from workers that fail; a new process counts its part of shares as even

Causes: Choice.offer counts failures by a number that one served job halves away; Shares.refill takes the part of a tenant's jobs that a process has seen, which is none when it has just taken another's place. Change: the part of a worker's last jobs that failed counts as four times what the job may take, for unsafe jobs; until a dispatcher has seen two seconds its part of a share leans to the even one.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -32,6 +32,8 @@
     private static final double OPENING = 3;
     /** A crossing of zones counts as so many times its price in time, and is left out for a period. */
     private static final double CROSSING = 3;
+    /** An unsafe job that fails counts as so many times what it may take. */
+    private static final double LOST = 4;
     private static final int WIDTHS = Ledger.WIDTHS;
     /** How unsure it is what others have at a worker, in slots of one. */
     private static final double UNSURE = 4;
@@ -166,7 +168,9 @@
                 }
             }
             // Danger: a worker that fails what it starts has short queues, and would draw job after job.
+            // What must not run twice is lost with the first failure, however soon that comes.
             double run = (runAt(s, job) + wait(s, job, now)) * (1 + s.errors)
+                + (job.effect == Effect.UNSAFE ? LOST * s.faulty * good.inTime() : 0)
                 + (crosses ? CROSSING * settings.crossZonePrice() * good.inTime() : 0);
             if (s.owed && job.effect == Effect.SAFE) {
                 run = 0;
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -273,6 +273,8 @@
             s.out -= a.job.slots;
         }
         s.running -= a.startedAt > 0 ? a.job.slots : 0;
+        s.faulty += outcome == Outcome.ERROR ? (1 - s.faulty) / PACE_MEMORY
+            : outcome == Outcome.SERVED ? -s.faulty / PACE_MEMORY : 0;
         s.signAt = outcome == Outcome.SERVED || outcome == Outcome.FULL ? now : s.signAt;
     }
 
@@ -473,6 +475,8 @@
         boolean owed;
         /** Jobs that failed there of late, after their start or not; a served one halves it. */
         int errors;
+        /** The part of its last jobs that failed there. */
+        double faulty;
         long barredUntil;
         /** Until then a quota drawn for a cold worker stands. */
         long lapses;
--- a/src/main/java/barrowflow/Shares.java
+++ b/src/main/java/barrowflow/Shares.java
@@ -24,6 +24,8 @@
     /** Jobs seen of late, over the tenant's jobs a second. */
     private final double[] usage;
     private double jobs;
+    /** The part of the memory that has been lived through. */
+    private double known;
 
     Shares(List<Tenant> tenants, int dispatchers) {
         this.tenants = tenants;
@@ -58,23 +60,25 @@
      * Refills allowances by this dispatcher's part of the shares: the part of a tenant's jobs that it sees,
      * where the others tell theirs; else even, or more where most tenants send more through it. Danger:
      * clients are not spread alike, and who sees much of the traffic would take honest tenants for greedy.
+     * One that has just begun has seen next to nothing: until it has, its part counts as even.
      */
     void refill(double period, Gossip others) {
         boolean told = others != null && others.others() > 0;
-        double[] sorted = told ? new double[0] : usage.clone();
+        double[] sorted = usage.clone();
         Arrays.sort(sorted);
         double median = sorted.length < 3 ? 0 : sorted[(sorted.length - 1) / 2] * 1e6 / MEMORY;
         double even = Math.max(1.0 / dispatchers, median / USUAL_USE);
         for (int t = 0; t < allowance.length; t++) {
             double share = tenants.get(t).jobsPerSecond();
             double seen = usage[t] * share * 1e6 / MEMORY;
-            double mine = !told ? even
-                : (seen + EVEN) / (seen + others.perSecond(t) + EVEN * dispatchers);
+            double part = (seen + EVEN) / (seen + (told ? others.perSecond(t) : 0) + EVEN * dispatchers);
+            double mine = told ? part * known + even * (1 - known) : even;
             double rate = share * mine / 1e6;
             allowance[t] = Math.min(Math.max(BURST, rate * MEMORY), allowance[t] + rate * period);
             usage[t] *= Math.exp(-period / MEMORY);
         }
         jobs *= Math.exp(-period / MEMORY);
+        known += (1 - known) * (1 - Math.exp(-period / MEMORY));
     }
 
     /** First tries of all tenants that this dispatcher sees a second. */
