Probes while a kind's slots are not known; messages for nodes with thin traffic

Change: kinds of which no report told slots yet are probed also while others are heard; up to 0.01 of the result goes on messages, no more often than sixteen times in a job.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -362,17 +362,20 @@
     private void gossip(long now) {
         if (gossip != null) {
             gossip.expire(now);
-            if (gossip.due(now, ledger.inUse(), shares.jobsPerSecond())) {
+            if (gossip.due(now, shares.jobsPerSecond(), hold)) {
                 out.tell(ledger.message(gossip, shares.perSecond()));
             }
             ledger.others(gossip);
         }
     }
 
-    /** Asks those that were not asked for longest. What others tell of their jobs says more, for less. */
+    /**
+     * Asks those that were not asked for longest. What others tell of their jobs says more, for less; but how
+     * many slots a kind of worker has they do not tell, and who has just begun would offer one of each.
+     */
     private void probe(long now) {
-        int due = prober == null || told() ? 0 : prober.due(now, sellers.size(), shares.jobsPerSecond());
-        for (Seller s : ledger.longestUnasked(due)) {
+        int due = prober == null ? 0 : prober.due(now, sellers.size(), shares.jobsPerSecond());
+        for (Seller s : ledger.longestUnasked(due, told())) {
             s.probedAt = now;
             out.probe(s.worker.id());
         }
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -51,6 +51,7 @@
     private final Set<Long> left = new LinkedHashSet<>();
     private static final int LEFT_KEPT = 4_096;
     private final double[] kindSlots = new double[256];
+    private final boolean[] slotsTold = new boolean[256];
     private final int[] keySeen = new int[KEYS];
     private int keysSeen;
     private long lastEvent = Long.MIN_VALUE;
@@ -285,6 +286,7 @@
             s.freeMemory = freeMemory;
             s.reportAt = now;
             slotsSeen(s, freeSlots);
+            slotsTold[s.worker.kind() & 0xff] |= freeSlots >= 1;
             s.busy += BUSY_MEMORY * (Math.max(0, slots(s) - freeSlots - s.out) - s.busy);
         }
     }
@@ -296,21 +298,20 @@
         }
     }
 
-    /** How many workers have own jobs. */
-    int inUse() {
-        return (int) sellers.stream().filter(s -> s.out > 0).count();
-    }
-
-    /** What the others are told of them. */
+    /** What the others are told of own jobs at workers. */
     byte[] message(Gossip gossip, double[] perSecond) {
         List<Seller> used = sellers.stream().filter(s -> s.out > 0).toList();
         return gossip.message(used.stream().mapToLong(s -> s.worker.name()).toArray(),
             used.stream().mapToDouble(s -> s.out).toArray(), perSecond);
     }
 
-    /** Ready workers, as many as asked for, that were not probed for the longest time. */
-    List<Seller> longestUnasked(int count) {
-        return count < 1 ? List.of() : sellers.stream().filter(s -> s.state == WorkerState.READY)
+    /**
+     * Ready workers, as many as asked for, that were not probed for the longest time; of kinds alone of which
+     * no report has told slots yet, where that is asked for.
+     */
+    List<Seller> longestUnasked(int count, boolean untold) {
+        return count < 1 ? List.of() : sellers.stream().filter(s -> s.state == WorkerState.READY
+                && !(untold && slotsTold[s.worker.kind() & 0xff]))
             .sorted(Comparator.comparingLong(s -> s.probedAt)).limit(count).toList();
     }
 
--- a/src/main/java/barrowflow/gossip/Gossip.java
+++ b/src/main/java/barrowflow/gossip/Gossip.java
@@ -29,13 +29,14 @@
     private static final double RATE_UNIT = 16;
     /** Of one dispatcher that can't name all of its workers in a message, so many are kept. */
     private static final int MOST_TAGS = 4096;
-    /** So much of the result is spent on messages at most, and no more often than this, in microseconds. */
-    private static final double SPEND = 0.004;
+    /** So much of the result is spent on messages at most: what they gain is five times that. */
+    private static final double SPEND = 0.01;
+    /** Told this often while a job runs, the others know all but the last few jobs. */
+    private static final double IN_A_JOB = 16;
+    /** Microseconds; no message is sent sooner after the last. */
     private static final long SOONEST = 20_000;
-    /** What is told less often than this is worth nothing: jobs have come and gone. */
-    private static final long LATEST = 1_000_000;
-    /** A dispatcher that is silent for so long counts for nothing. */
-    private static final long SILENT = 3 * LATEST;
+    /** A dispatcher that is silent for so long, in microseconds, counts for nothing. */
+    private static final long SILENT = 3_000_000;
 
     /** So many lives of a dispatcher are heard: one that ends, beside the one that takes its place. */
     private static final int LIVES = 2;
@@ -61,6 +62,7 @@
     private int number;
     private long nextAt;
     private int turn;
+    private int bytes = HEAD + ITEM * TENANTS / 2;
     private long malformed;
 
     /**
@@ -73,16 +75,21 @@
         this.life = life;
     }
 
-    /** Whether it is time to tell; {@code jobsPerSecond} come to this dispatcher. */
-    public boolean due(long now, int workersInUse, double jobsPerSecond) {
+    /**
+     * Whether it is time to tell. Where its price bears a message less often than jobs come and go, none is.
+     *
+     * @param jobsPerSecond that come to this dispatcher
+     * @param run of the mean job, microseconds
+     */
+    public boolean due(long now, double jobsPerSecond, double run) {
         if (dispatchers < 2 || now < nextAt) {
             return false;
         }
-        double bytes = Math.min(MOST, HEAD + ITEM * (workersInUse + TENANTS / 2.0));
-        double cost = (dispatchers - 1) * bytes / MOST * price;
-        double pause = Math.max(SOONEST, 1e6 * cost / SPEND / Math.max(1e-3, jobsPerSecond));
+        double cost = (dispatchers - 1) * (double) bytes / MOST * price;
+        double borne = 1e6 * cost / SPEND / Math.max(1e-3, jobsPerSecond);
+        double pause = Math.max(SOONEST, Math.max(run / IN_A_JOB, borne));
         nextAt = now + (long) Math.min(pause, SILENT);
-        return pause <= LATEST;
+        return pause <= Math.max(SOONEST, run);
     }
 
     /**
@@ -102,8 +109,8 @@
         }
         int room = (MOST - HEAD - ITEM * tenants) / ITEM;
         int workers = Math.min(room, names.length);
-        ByteBuffer out = ByteBuffer.allocate(HEAD + ITEM * (tenants + workers))
-            .order(ByteOrder.LITTLE_ENDIAN);
+        bytes = HEAD + ITEM * (tenants + workers);
+        ByteBuffer out = ByteBuffer.allocate(bytes).order(ByteOrder.LITTLE_ENDIAN);
         out.put(VERSION).putInt(life).putInt(++number).put((byte) (workers == names.length ? 1 : 0))
             .put((byte) tenants);
         for (int i = 0; i < tenants; i++) {
