--- a/src/test/java/gorserill/routing/ImportsTest.java
+++ b/src/test/java/gorserill/routing/ImportsTest.java
@@ -49,6 +49,16 @@
             "gorserill.transport"), List.of());
     }
 
+    /** The decision module and what stands beside it know no wire, no file and no clock of the system's. */
+    @Test
+    public void decisionsAreFreeOfWireAndClock() throws IOException {
+        List<String> found = new ArrayList<>(naming("../barrowflow", "grizzly", "jackson", "java.net",
+            "gorserill.", "nanoTime", "currentTimeMillis", "java.time", "java.nio.file"));
+        found.addAll(naming("../barrowflow/gossip", "barrowflow.Choice", "barrowflow.Ledger", "java.io"));
+        found.addAll(naming("../barrowflow/probing", "barrowflow.Choice", "barrowflow.Ledger", "java.io"));
+        assertEquals(found, List.of());
+    }
+
     /** What contracts decide needs no file, no wire and no clock; only their reader opens files. */
     @Test
     public void contractsDecideByThemselves() throws IOException {
