No probes where reports tell no free slots: they were paid for good and taught nothing

Seen on reading the change again: Choice.probe asks kinds of worker whose slots no report has told, for as long as none has; where report.names has no free slots none ever will. Change: the settings' signs say so (SettingsParser). AdapterTest.messagesAndProbesPassInBothDirections fails without it.

--- a/src/main/java/barrowflow/adapter/SettingsParser.java
+++ b/src/main/java/barrowflow/adapter/SettingsParser.java
@@ -54,7 +54,9 @@
             new Goal(number("goal.whole", 1.0), number("goal.worst_class", 0.0),
                 word("counted_by", "request").equals("work")),
             new Signs(flag("caps.peers"), number("prices.peer", 0.0), flag("caps.probes"),
-                number("prices.probe", 0.0), word("report.how", "silent").equals("pull")));
+                number("prices.probe", 0.0),
+                // Danger: where reports tell no free slots, probes would be paid for good and teach nothing.
+                word("report.how", "silent").equals("pull") && reportPlace("free_slots") >= 0));
     }
 
     private JobClass jobClass(int c) {
--- a/src/main/java/barrowflow/gossip/Gossip.java
+++ b/src/main/java/barrowflow/gossip/Gossip.java
@@ -95,7 +95,7 @@
     /**
      * A message of what this dispatcher has out; where not all fits, the next one goes on with the rest.
      *
-     * @param names of workers with own jobs, or that had some when it told last
+     * @param names of workers with own jobs
      * @param taken slots taken at each of them
      * @param perSecond each tenant's jobs a second here
      */
--- a/src/test/java/barrowflow/adapter/AdapterTest.java
+++ b/src/test/java/barrowflow/adapter/AdapterTest.java
@@ -149,6 +149,10 @@
         int probe = records(reply, at, Reply.ASK_LOAD).get(0);
         assertEquals(0x0a124a07, reply.getInt(probe + 1));
 
+        String untold = settings.replace("domain.report_x0=free_slots", "domain.report_x0=something");
+        ByteBuffer none = run(new Batch().on(5).up(untold).oneWorker().knock(1).frame(1, 1_000_000), second);
+        assertEquals(List.of(), records(none, 12 + none.getInt(8), Reply.ASK_LOAD), "nothing to learn");
+
         Batch third = new Batch().on(5);
         third.record(110).putInt(1, 0x0a124a07).putShort(5, (short) 0x232b).put(13, (byte) 2)
             .putFloat(14, 0.5f).putFloat(18, 4f);
