A node that can't name all its workers in a message no longer counts at those it left

Seen on reading the change again, and by GossipTest before the mend: of a sender with more busy workers than one message names, slots told once stayed for as long as it spoke. Line: Gossip.heard, which forgets by whole messages alone. Change: what such a sender has not named for 3 s counts for nothing.

--- a/src/main/java/barrowflow/gossip/Gossip.java
+++ b/src/main/java/barrowflow/gossip/Gossip.java
@@ -49,6 +49,8 @@
         int number;
         long at;
         final Map<Integer, Integer> slots = new HashMap<>();
+        /** When each of them was named last; kept where not all fit in one message. */
+        final Map<Integer, Long> namedAt = new HashMap<>();
         final Map<Integer, Integer> rates = new HashMap<>();
     }
 
@@ -162,9 +164,27 @@
             int item = in.getInt();
             Integer before = peer.slots.put(item & 0xffffff, item >>> 24);
             slots.merge(item & 0xffffff, (item >>> 24) - (before == null ? 0 : before), Gossip::sum);
+            if (message[9] != 1) {
+                peer.namedAt.put(item & 0xffffff, now);
+            }
+        }
+        if (message[9] != 1) {
+            forgetUnnamed(peer, now);
         }
     }
 
+    /** Danger: who can't name all of its workers names none to say that it has nothing there any more. */
+    private void forgetUnnamed(Peer peer, long now) {
+        peer.slots.entrySet().removeIf(e -> {
+            boolean old = now - peer.namedAt.getOrDefault(e.getKey(), 0L) > SILENT;
+            if (old) {
+                slots.merge(e.getKey(), -e.getValue(), Gossip::sum);
+                peer.namedAt.remove(e.getKey());
+            }
+            return old;
+        });
+    }
+
     /** Danger: whoever sends under ever new lives must not fill the memory; the longest silent one goes. */
     private void makeRoom(int from) {
         Speaker oldest = null;
@@ -189,6 +209,7 @@
     private void forget(Peer peer) {
         peer.slots.forEach((tag, taken) -> slots.merge(tag, -taken, Gossip::sum));
         peer.slots.clear();
+        peer.namedAt.clear();
     }
 
     private void forgetRates(Peer peer) {
--- a/src/test/java/barrowflow/gossip/GossipTest.java
+++ b/src/test/java/barrowflow/gossip/GossipTest.java
@@ -127,6 +127,12 @@
         for (long name : names) {
             assertEquals(7, listener.taken(name), "worker " + name);
         }
+        long[] others = LongStream.range(201, 401).toArray();
+        for (int i = 1; i <= 20; i++) {
+            listener.heard(i * 200_000, 1, speaker.message(others, taken, tenants));
+        }
+        assertEquals(0, listener.taken(1), "it has nothing there any more, though no message says so");
+        assertEquals(7, listener.taken(201));
     }
 
     @Test
