Second copies bid with what they are likely to save, and pay in either world

Cause: a copy of a waiting job costs nothing where a cancel frees the worker and a whole run where it does not; no setting tells which.

Change: a copy is made where the chance that it saves the job, times the job's worth by the slot-second, is more than half of what a slot-second is worth on average: as if its work were always in vain. The chance comes from Waits, which learns how long attempts wait to begin, by the product-limit estimate. FleetModel gets cancels, stopping work or not, and machines that hang.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -44,8 +44,8 @@
     private static final double SHRINK = 0.2;
     /** Even shares are a slot over this at least; many dispatchers trade with a part of the workers each. */
     private static final double SHARES_IN_SLOT = 4;
-    /** A copy is thought of once a job waited this part of the time in which it had best start. */
-    private static final int COPY_AFTER = 2;
+    /** A copy has to save this part of what its work is worth on average, as if it always ran in vain. */
+    private static final double COPY_PRICE = 0.5;
     /** Standard deviations of chance kept below a cold worker's limit. */
     private static final double COLD_SIGMAS = 3;
     /** A cold worker of which others tell holds so many times what it can run at the most. */
@@ -156,7 +156,7 @@
             boolean crosses = s.worker.zone() != settings.zone();
             if (crosses && home && !s.owed || !able(s, job, now) || reportsFull(s, job, now)
                 || s.price[good.index] > most
-                || (job.out > 0 || told() && cold(s, now)) && !hasRoom(s, job, now)) {
+                || told() && cold(s, now) && !hasRoom(s, job, now)) {
                 continue;
             }
             if (s.quota[good.index] <= 0) {
@@ -237,15 +237,13 @@
     }
 
     /**
-     * Danger: where a cancel stops no work, a copy runs to its end; it may take only what nobody needs. A
-     * cold worker may hold a little more than it can run, up to half of what would push it over with the jobs
-     * that it ends meanwhile; the other half is for those not heard of yet.
+     * A cold worker may hold a little more than it can run, up to half of what would push it over with the
+     * jobs that it ends meanwhile; the other half is for those not heard of yet.
      */
     private boolean hasRoom(Seller s, Job job, long now) {
         Cold cold = settings.cold();
         double more = (cold.fallMultiple() - 1) * cold.fallWindow() / 2 / (hold * s.pace);
-        double most = ledger.slots(s) * ledger.warmth(s, now)
-            * (job.out > 0 ? 1 : Math.min(COLD_QUEUE, more));
+        double most = ledger.slots(s) * ledger.warmth(s, now) * Math.min(COLD_QUEUE, more);
         return s.busy + s.out <= 0 || job.slots + s.busy + s.out <= most;
     }
 
@@ -331,8 +329,7 @@
         nextPeriod = Math.max(nextPeriod + period, now + 1);
         ledger.values(goods, settings.goal(), now);
         for (Job job : held) {
-            job.bid = job.worthAt(now) / job.good.of.worth() * job.good.value
-                * (settings.goal().byWork() ? 1 : 1 / job.size) / (job.slots * job.good.run);
+            job.bid = job.bid(settings.goal(), now);
         }
         held.sort((a, b) -> Double.compare(b.bid, a.bid));
         offerHeld(now, true);
@@ -412,9 +409,11 @@
 
     /**
      * Finds where an own job waits, and offers a copy where its class bears one; the first to start goes on.
-     * Danger: a worker gone silent or slow would draw one after another; one that gives signs gets to it.
+     * Danger: where a cancel stops no work, each copy is a run for nothing, and nothing tells where. So a copy
+     * has to bid by the slot-second, as jobs do, what it is likely to save.
      */
     private void watchAttempts(long now) {
+        double leastBid = COPY_PRICE * ledger.meanValue(goods) / hold;
         for (Seller s : sellers) {
             s.queueing = false;
         }
@@ -426,8 +425,8 @@
                 a.seller.waitedAt = now;
                 queued(a);
                 if (settings.secondCopies() && a.job.out == 1 && !a.job.over && now <= a.job.bestBy
-                    && a.seller.signAt < a.sentAt && now - a.sentAt > a.job.spare() / COPY_AFTER
-                    && a.job.attempts.size() + 1 < settings.maxAttempts()) {
+                    && a.job.attempts.size() + 1 < settings.maxAttempts()
+                    && ledger.saved(a, now) * a.job.bid(settings.goal(), now) > leastBid) {
                     offer(a.job, now);
                 }
             }
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 
 /** What {@link Choice} keeps on record. It holds figures and decides nothing. */
 final class Ledger {
@@ -42,6 +43,7 @@
     /** The workers listed, in the order in which they were first named. */
     final List<Seller> sellers = new ArrayList<>();
     final Map<Long, Job> jobs = new HashMap<>();
+    final Waits waits = new Waits();
     /** How long it takes a worker to fetch what a job is about, microseconds. */
     double fetch;
     private final Cold cold;
@@ -249,7 +251,7 @@
     void began(Attempt a, long now) {
         Seller s = a.seller;
         a.startedAt = now;
-        s.signAt = now;
+        waits.seen(now - a.sentAt, true);
         s.isWell(now);
         s.running += a.job.slots;
         slotsSeen(s, s.running);
@@ -267,6 +269,9 @@
         a.ended = true;
         a.neverRan = outcome.neverRan;
         a.job.out--;
+        if (a.startedAt == 0 && !outcome.neverRan) {
+            waits.seen(now - a.sentAt, outcome == Outcome.SERVED);
+        }
         if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMEOUT) {
             a.runsOnUntil = runsOnUntil;
             ghosts.add(a);
@@ -276,7 +281,6 @@
         s.running -= a.startedAt > 0 ? a.job.slots : 0;
         s.faulty += outcome == Outcome.ERROR ? (1 - s.faulty) / PACE_MEMORY
             : outcome == Outcome.SERVED ? -s.faulty / PACE_MEMORY : 0;
-        s.signAt = outcome == Outcome.SERVED || outcome == Outcome.FULL ? now : s.signAt;
     }
 
     /** What a worker tells of its room; NaN where it does not. */
@@ -315,15 +319,33 @@
             .sorted(Comparator.comparingLong(s -> s.probedAt)).limit(count).toList();
     }
 
+    /**
+     * The chance that a copy saves a job's worth: it begins too late to end in time where it waits, and not
+     * elsewhere, by how long others waited of late. A client's repeat counts as late a little sooner.
+     */
+    double saved(Attempt a, long now) {
+        long latest = 2 * a.job.bestBy - a.job.arrived;
+        return waits.late(now - a.sentAt, latest - a.sentAt) * (1 - waits.late(0, latest - now));
+    }
+
     /** Slot-seconds (in microseconds) of the average job so far at average speed. */
     double meanCost(Good[] goods) {
-        double cost = 0;
+        return mean(goods, Good::cost);
+    }
+
+    /** What the average job so far is worth, as the goal counts it. */
+    double meanValue(Good[] goods) {
+        return mean(goods, g -> g.value);
+    }
+
+    private static double mean(Good[] goods, ToDoubleFunction<Good> of) {
+        double sum = 0;
         double requests = 0;
         for (Good g : goods) {
-            cost += g.requests * g.cost();
+            sum += g.requests * of.applyAsDouble(g);
             requests += g.requests;
         }
-        return cost / Math.max(1, requests);
+        return sum / Math.max(1, requests);
     }
 
     /**
@@ -469,8 +491,6 @@
         /** How long the last own job waited there to start, and when that was known. */
         double waited;
         long waitedAt;
-        /** When it last began or ended an own job. */
-        long signAt;
         int failures;
         /** It was put back to work and has had no job since. */
         boolean owed;
@@ -578,15 +598,16 @@
             effect = atLeast.compareTo(usual) > 0 ? atLeast : usual;
         }
 
-        /** How long it could wait for the full worth when it came. */
-        long spare() {
-            return bestBy - arrived;
-        }
-
         double worthAt(long now) {
             return now <= bestBy ? worth : worth * good.of.lateShare();
         }
 
+        /** What it is worth by the slot-second, as the goal counts it. */
+        double bid(Goal goal, long now) {
+            return worthAt(now) / good.of.worth() * good.value * (goal.byWork() ? 1 : 1 / size)
+                / (slots * good.run);
+        }
+
         /** The number of the other attempt that is still out, or -1. */
         int otherCopy(Attempt than) {
             for (int i = 0; i < attempts.size(); i++) {
--- a/src/test/java/barrowflow/FleetTest.java
+++ b/src/test/java/barrowflow/FleetTest.java
@@ -110,6 +110,46 @@
             + 4 * offered);
     }
 
+    /** Half a minute of a fleet of which a machine hangs at all times; gives the parts in time and run in vain. */
+    private static double[] hanging(long seed, boolean copies, int stopsFrom, int stopsTo) {
+        JobClass job = new JobClass(100_000, 2, 5_000_000, 1, 0, Dispatcher.Effect.SAFE, Dispatcher.Group.ALL,
+            0, -1);
+        FleetModel fleet = new FleetModel(seed);
+        for (long id = 1; id <= 13; id++) {
+            fleet.machine(FakeHost.worker(id), 4, id % 2 == 0 ? 0.8 : 1);
+        }
+        fleet.nodes(3, new Settings(3, 0, List.of(job), List.of(), 1, new Cold(0.15, 24_000_000, 2.5, 3_000_000),
+            4, true, 2_000_000, false, true, 0, copies));
+        fleet.traffic(0, 13 * 4 * 0.5 / 0.4, 400_000, 30_000_000);
+        fleet.hangs(700_000, 30_000_000);
+        for (int half = 0; half < 2; half++) {
+            fleet.cancelStops = half >= stopsFrom && half < stopsTo;
+            fleet.run(16_000_000);
+        }
+        return new double[] {1.0 * fleet.prompt / fleet.offered, fleet.wasted / 400_000.0 / fleet.offered};
+    }
+
+    /**
+     * Nothing tells whether a cancel stops work. Copies must gain where it does, as early ones would (0.025),
+     * and where it does not, or does for half of the time, cost no more than a hundredth of all worth against
+     * none, with what ran in vain priced at a quarter. Early ones would cost 0.05 and 0.08 there.
+     */
+    @Test
+    void copiesPayWhetherACancelStopsWorkOrNotOrChanges() {
+        for (int[] stops : new int[][] {{0, 2}, {2, 2}, {0, 1}, {1, 2}}) {
+            double gain = 0;
+            double wasted = 0;
+            for (long seed = 1; seed <= 4; seed++) {
+                double[] with = hanging(seed, true, stops[0], stops[1]);
+                gain += (with[0] - hanging(seed, false, stops[0], stops[1])[0]) / 4;
+                wasted += with[1] / 4;
+            }
+            String seen = "halves " + stops[0] + " to " + stops[1] + " stop: gain " + gain + ", wasted " + wasted;
+            assertTrue(gain > 0.0125, seen);
+            assertTrue(gain - 0.25 * wasted > -0.01, seen);
+        }
+    }
+
     /** By the slot-second the longer job looks dear; counted by work, and by the worst class, it is not. */
     @Test
     void theClassServedWorstIsServedAsTheGoalCountsIt() {
