--- /dev/null
+++ b/src/main/java/gorserill/cluster/BadMessage.java
@@ -0,0 +1,10 @@
+package gorserill.cluster;
+
+/** Something read from the wire or a file that can't be worked with; the text names the place. */
+public final class BadMessage extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public BadMessage(String what) {
+        super(what);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/consensus/DiskShelf.java
@@ -0,0 +1,59 @@
+package gorserill.cluster.consensus;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
+import org.h2.mvstore.MVStoreException;
+
+/** A shelf in one file, by H2's MVStore: chunks with checksums, synced to the disk at each flush. */
+public final class DiskShelf implements Shelf, Closeable {
+    /** Megabytes; a voter keeps a short log, and the node has a small heap. */
+    private static final int CACHE = 1;
+
+    private final MVStore store;
+    private final MVMap<String, String> texts;
+
+    /** @throws IOException with the file's name, where it can't be read or is in use */
+    public DiskShelf(Path file) throws IOException {
+        try {
+            store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(CACHE).open();
+            texts = store.openMap("voter");
+        } catch (MVStoreException e) {
+            throw new IOException(file + ": can't be used as a voter's store: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void put(String key, String text) {
+        texts.put(key, text);
+    }
+
+    @Override
+    public void remove(String key) {
+        texts.remove(key);
+    }
+
+    @Override
+    public SortedMap<String, String> all() {
+        return new TreeMap<>(texts);
+    }
+
+    @Override
+    public void flush() throws IOException {
+        try {
+            store.commit();
+            store.sync();
+        } catch (MVStoreException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void close() {
+        store.closeImmediately();
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/consensus/Voter.java
@@ -0,0 +1,363 @@
+package gorserill.cluster.consensus;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import gorserill.cluster.BadMessage;
+import gorserill.cluster.Ground;
+import io.microraft.QueryPolicy;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftRole;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftNodeReport;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * One of the few members that keep the replicated log. All of it runs on the member's thread. What it promises
+ * rests on a quorum of voters and their disks alone; times only say when a leader is given up.
+ */
+public final class Voter {
+    /** Entries in one message: each is below a kilobyte, and a message must fit a datagram. */
+    private static final int ENTRIES = 4;
+    private static final int PENDING = 256;
+    private static final int ENTRIES_KEPT = 512;
+    /** The library counts heartbeats in seconds; one of them lasts as long as the settings say. */
+    private static final long SECOND = 1_000;
+    private static final int BEATS_TO_GIVE_UP = 5;
+    /** So many times as long without a sign, and a follower is stuck. */
+    private static final int STUCK = 4;
+    /** Characters in a piece of a snapshot. */
+    private static final int CHUNK = 3_000;
+
+    /** What the log is applied to; the same entries in the same order give the same state everywhere. */
+    public interface Book {
+        /** Gives what the entry's author is told. */
+        Object apply(long index, String entry);
+
+        String snapshot();
+
+        /** Takes over a snapshot; null for the state before any entry. */
+        void restore(String snapshot);
+    }
+
+    private final Ground ground;
+    private final RaftCodec codec;
+    private final long beat;
+    private final BiConsumer<String, JsonNode> send;
+    private final Book book;
+    private final Consumer<Boolean> leads;
+    private final VoterStore store;
+    private final String group;
+    private final String name;
+    private final Collection<String> voters;
+    private final Random random;
+    private final Founding founding;
+    private RaftNode raft;
+    private Life life;
+    private String leader;
+    private boolean leading;
+    private long applied;
+    private boolean ended;
+    private int restarts;
+    private String broken;
+
+    /**
+     * @param group the cluster's name
+     * @param voters the names of the first voters, this one among them; what the shelf says goes before it
+     * @param beat milliseconds between a leader's signs
+     * @param send where messages to other voters go
+     * @param leads is told when this voter begins to lead, and when it no longer does
+     * @throws BadMessage where what the shelf holds can't be read; it names the key
+     */
+    public Voter(String group, String name, Collection<String> voters, long beat, long seed, Ground ground,
+                 Shelf shelf, BiConsumer<String, JsonNode> send, Book book, Consumer<Boolean> leads)
+        throws BadMessage {
+        this.ground = ground;
+        this.beat = beat;
+        this.send = send;
+        this.book = book;
+        this.leads = leads;
+        this.group = group;
+        this.name = name;
+        this.voters = voters;
+        random = new Random(seed);
+        codec = new RaftCodec(group);
+        store = new VoterStore(shelf, codec, this::storeFailed);
+        build();
+        founding = new Founding(name, voters, beat, ground, shelf,
+            (to, message) -> this.send(to, JsonNodeFactory.instance.objectNode().set("founding", message)),
+            () -> raft.start(), this::storeFailed);
+    }
+
+    /** The library's node, as what the store holds makes it. */
+    private void build() throws BadMessage {
+        RestoredRaftState restored = store.restored();
+        RaftConfig config = RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(SECOND)
+            .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(BEATS_TO_GIVE_UP)
+            .setAppendEntriesRequestBatchSize(ENTRIES).setMaxPendingLogEntryCount(PENDING)
+            .setCommitCountToTakeSnapshot(ENTRIES_KEPT).setRaftNodeReportPublishPeriodSecs(1).build();
+        life = new Life();
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(group).setConfig(config)
+            .setExecutor(life).setTransport(life).setStateMachine(life).setStore(store)
+            .setModelFactory(codec.models()).setRandom(new Random(random.nextLong()))
+            .setClock(new GroundClock()).setRaftNodeReportListener(life::reported);
+        if (restored == null) {
+            List<RaftEndpoint> members = new ArrayList<>();
+            voters.forEach(voter -> members.add(new Endpoint(voter)));
+            builder.setLocalEndpoint(new Endpoint(name)).setInitialGroupMembers(members);
+        } else {
+            builder.setRestoredState(restored);
+        }
+        raft = builder.build();
+    }
+
+    /**
+     * Danger: after votes and signs that crossed, the library's node (0.7) was seen to follow a leader for good
+     * that was long gone. One that does is made anew from its store, as if its process had been restarted.
+     */
+    private void unstick(RaftNodeReport report) {
+        long heard = report.getLeaderHeartbeatTimestamp().orElse(0L);
+        boolean follows = report.getRole() == RaftRole.FOLLOWER && report.getTerm().getLeaderEndpoint() != null;
+        if (!follows || heard <= 0 || ground.millis() - heard * beat / SECOND < beat * BEATS_TO_GIVE_UP * STUCK) {
+            return;
+        }
+        try {
+            reported(false, null);
+            applied = 0;
+            book.restore(null);
+            build();
+            restarts++;
+            raft.start();
+        } catch (BadMessage e) {
+            storeFailed(new IOException(e.getMessage()));
+        }
+    }
+
+    /** How often this voter was made anew since it followed a leader that was gone. */
+    public int restarts() {
+        return restarts;
+    }
+
+    /** Plants a fault: a voter whose store is empty goes on as if the cluster had been founded with it. */
+    public static void plantFounded(Shelf shelf) {
+        shelf.put(Founding.KEY, Founding.Stage.FOUNDED.name());
+    }
+
+    public void start() {
+        founding.start();
+    }
+
+    private void send(String to, JsonNode message) {
+        if (!ended) {
+            send.accept(to, message);
+        }
+    }
+
+    /** Takes no further part; what it promised stays on its shelf. */
+    public void stop() {
+        ended = true;
+    }
+
+    /** Why this voter takes no part, or null where it does. */
+    public String broken() {
+        return broken != null ? broken : founding.forgot()
+            ? "its store is empty, but the cluster was founded: it must be replaced" : founding.done() ? null
+            : "waits for all voters to be there for the first time";
+    }
+
+    /** A message of another voter. */
+    public void heard(String from, JsonNode message) throws BadMessage {
+        if (ended) {
+            return;
+        } else if (message.path("founding").isObject()) {
+            founding.heard(from, message.path("founding"));
+        } else if (!message.path("from").asText().equals(from)) {
+            throw new BadMessage("raft: from: is not its sender");
+        } else {
+            RaftMessage read = codec.read(message);
+            // Danger: one that lost its memory must not answer as if it had none to lose.
+            if (founding.done()) {
+                raft.handle(read);
+            }
+        }
+    }
+
+    /** Who leads as far as is known; null where nobody does. */
+    public String leader() {
+        return leader;
+    }
+
+    public boolean leading() {
+        return leading && !ended;
+    }
+
+    /** The index of the last entry that was applied here. */
+    public long applied() {
+        return applied;
+    }
+
+    /**
+     * Puts an entry into the log.
+     *
+     * @param then what the book made of it, or null where it is not known whether it is in the log or will be
+     */
+    public void propose(String entry, Consumer<Object> then) {
+        done(raft.<Object>replicate(entry), then);
+    }
+
+    /** Asks a quorum whether this voter still leads: if so, what it has applied holds at this moment. */
+    public void confirm(Consumer<Boolean> then) {
+        done(raft.<Object>query("", QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()),
+            result -> then.accept(result != null));
+    }
+
+    private <T> void done(CompletableFuture<io.microraft.Ordered<T>> future, Consumer<Object> then) {
+        future.whenComplete((result, fault) -> ground.after(0, () ->
+            then.accept(fault == null && !ended ? result.getResult() : null)));
+    }
+
+    /** Hands the lead to another voter. */
+    public void handOver(String to) {
+        raft.transferLeadership(new Endpoint(to));
+    }
+
+    private void storeFailed(IOException e) {
+        broken = "its store failed: " + e.getMessage();
+        ended = true;
+        reported(false, null);
+    }
+
+    private void reported(boolean nowLeading, String nowLeader) {
+        leader = nowLeader;
+        if (leading != nowLeading) {
+            leading = nowLeading;
+            leads.accept(nowLeading);
+        }
+    }
+
+    /** The ground's clock, quick enough that a beat is one of the library's seconds. */
+    private final class GroundClock extends Clock {
+        @Override
+        public long millis() {
+            return ground.millis() * SECOND / beat;
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.ofEpochMilli(millis());
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+    }
+
+    /** What one life of the library's node stands on; once another has begun, nothing comes of it any more. */
+    private final class Life implements Transport, RaftNodeExecutor, StateMachine {
+        private boolean over() {
+            return ended || life != this;
+        }
+
+        void reported(RaftNodeReport report) {
+            if (!over()) {
+                Voter.this.reported(report.getRole() == RaftRole.LEADER,
+                    RaftCodec.name(report.getTerm().getLeaderEndpoint()));
+                // Danger: the library's node is in the middle of something, and would go on with it on a new book.
+                ground.after(0, () -> {
+                    if (!over()) {
+                        unstick(report);
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void send(RaftEndpoint target, RaftMessage message) {
+            if (!over()) {
+                Voter.this.send(RaftCodec.name(target), codec.write(message));
+            }
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint endpoint) {
+            return true;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            schedule(task, 0, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void submit(Runnable task) {
+            schedule(task, 0, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void schedule(Runnable task, long delay, TimeUnit unit) {
+            ground.after(unit.toMillis(delay) * beat / SECOND, () -> {
+                if (!over()) {
+                    task.run();
+                }
+            });
+        }
+
+        @Override
+        public Object runOperation(long index, Object operation) {
+            String entry = (String) operation;
+            if (over()) {
+                throw new IllegalStateException("this life of the library's node is over");
+            } else if (entry.isEmpty()) {
+                // A new term's first entry, or the question whether this voter leads.
+                return Boolean.TRUE;
+            }
+            applied = index;
+            return book.apply(index, entry);
+        }
+
+        @Override
+        public void takeSnapshot(long index, Consumer<Object> pieces) {
+            String text = book.snapshot();
+            for (int from = 0; from < text.length(); from += CHUNK) {
+                pieces.accept(text.substring(from, Math.min(text.length(), from + CHUNK)));
+            }
+        }
+
+        @Override
+        public void installSnapshot(long index, List<Object> pieces) {
+            StringBuilder text = new StringBuilder();
+            pieces.forEach(text::append);
+            applied = index;
+            book.restore(text.toString());
+        }
+
+        @Override
+        public Object getNewTermOperation() {
+            return "";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/lab/Lab.java
@@ -0,0 +1,430 @@
+package gorserill.cluster.lab;
+
+import gorserill.cluster.BadMessage;
+import gorserill.cluster.Ground;
+import gorserill.cluster.member.Duty;
+import gorserill.cluster.member.Member;
+import gorserill.cluster.member.Terms;
+import gorserill.cluster.standing.Standing;
+import gorserill.cluster.standing.StandingJob;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * One run of a cluster in virtual time. The same seed gives the same run to the byte. After each event all
+ * rules are checked; the first that is broken ends the run, with what led to it.
+ */
+public final class Lab {
+    /** What can be made to happen. */
+    public enum Fault { LOSS, CUT, ONE_WAY, FLAP, STALL, CRASH, RESTART_ALL, DRIFT, DISK, FORGET, LEAVE }
+
+    /**
+     * A run.
+     *
+     * @param nodes in all, the first {@code voters} of them voting
+     * @param seconds of faults; after that all is whole for {@link #CALM} ms, in which work must go on
+     */
+    public record Plan(int nodes, int voters, int seconds, long seed, Set<Fault> faults, Set<Member.Plant> plants) { }
+
+    /** What came of it; {@code violation} is null where nothing was broken. */
+    public record Outcome(String violation, List<String> history, int acts, int unknown, int epochs, int faults,
+                          long longestGap, long messages, long bytes, long fingerprint) { }
+
+    /** Work of the fleet: acts that must never be done twice, and acts that may be, by their key. */
+    private static final List<String> PIECES = List.of("once-a", "once-b", "keyed-a", "keyed-b");
+    public static final long CALM = 15_000;
+    private static final long BEAT = 100;
+    private static final long LEASE = 1_000;
+    private static final double DRIFT = 0.05;
+    private static final List<StandingJob> JOBS = PIECES.stream().map(name -> new StandingJob(name, name, "", 300,
+        null, null, StandingJob.Missed.ALL, 300, name.startsWith("keyed"))).toList();
+    private static final int HISTORY = 60;
+
+    private final Plan plan;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
+        a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final Map<String, LabNode> nodes = new TreeMap<>();
+    private final Map<String, Long> cutUntil = new HashMap<>();
+    private final List<String> history = new ArrayList<>();
+    private final Map<String, Integer> runs = new HashMap<>();
+    private final Map<String, Long> first = new HashMap<>();
+    private final Set<String> leftOut = new HashSet<>();
+    private final Set<String> unknown = new HashSet<>();
+    private final Map<String, String> epochOf = new HashMap<>();
+    private final Map<String, Long> unownedSince = new HashMap<>();
+    private long now;
+    private long order;
+    private double loss;
+    private String violation;
+    private int faults;
+    private long longestGap;
+    private long messages;
+    private long bytes;
+    private long fingerprint = 1;
+
+    private record Event(long at, long order, LabNode to, int incarnation, Runnable what) { }
+
+    private Lab(Plan plan) {
+        this.plan = plan;
+        random = new SplittableRandom(plan.seed);
+    }
+
+    public static Outcome run(Plan plan) {
+        return new Lab(plan).run();
+    }
+
+    /** A node: its process, its clock and its disk. */
+    private final class LabNode implements Ground, Duty {
+        final String name;
+        final LabShelf shelf = new LabShelf();
+        final double rate;
+        final long offset;
+        int incarnation;
+        long stalledUntil;
+        boolean up;
+        Member member;
+        Standing standing;
+
+        LabNode(String name) {
+            this.name = name;
+            rate = plan.faults.contains(Fault.DRIFT) ? 1 + DRIFT * (random.nextDouble() - 0.5) : 1;
+            offset = 1_000 + random.nextInt(1_000_000);
+        }
+
+        void boot() {
+            incarnation++;
+            up = true;
+            standing = new Standing(JOBS, this, () -> now, this::work, (job, number, epoch, what) -> {
+                if (what.startsWith("claimed")) {
+                    first.putIfAbsent(job, number);
+                } else if (what.startsWith("missed")) {
+                    leftOut.add(job + "#" + number);
+                } else if (what.endsWith("UNKNOWN")) {
+                    unknown.add(job + "#" + number);
+                }
+            });
+            List<String> voters = new ArrayList<>();
+            for (int i = 0; i < plan.voters; i++) {
+                voters.add("n" + i);
+            }
+            try {
+                member = new Member(new Terms("lab", name, name + "/" + incarnation, incarnation, "1", voters, PIECES, BEAT,
+                    LEASE, DRIFT), this, shelf, random.nextLong(), this, plan.plants);
+                standing.member(member);
+                member.start();
+            } catch (BadMessage e) {
+                violation("a store that can't be read: " + e.getMessage());
+            }
+        }
+
+        void crash() {
+            member.stop();
+            up = false;
+            incarnation++;
+            shelf.crash();
+        }
+
+        @Override
+        public long millis() {
+            return offset + (long) (now * rate);
+        }
+
+        @Override
+        public void after(long millis, Runnable then) {
+            at(now + (long) Math.ceil(millis / rate), this, then);
+        }
+
+        @Override
+        public void send(String to, byte[] message) {
+            LabNode target = nodes.get(to);
+            messages++;
+            bytes += message.length;
+            fingerprint = fingerprint * 31 + java.util.Arrays.hashCode(message);
+            if (target == null || cut(name, to) || random.nextDouble() < loss) {
+                return;
+            }
+            int copies = random.nextDouble() < loss / 4 ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                long way = 1 + random.nextInt(5) + (random.nextDouble() < loss ? random.nextInt(1_500) : 0);
+                int to1 = target.incarnation;
+                // Danger: a datagram may reach the process that came after the one it was sent to.
+                at(now + way, target, -1, () -> {
+                    if (target.up && (target.incarnation == to1 || random.nextBoolean())) {
+                        target.member.heard(message);
+                    }
+                });
+            }
+        }
+
+        // ---- the work: standing jobs, and a wrapper that looks at their coming and going ----
+
+        @Override
+        public void owns(String piece, long epoch, long last, SortedSet<Long> open) {
+            String me = name + "/" + incarnation;
+            String before = epochOf.putIfAbsent(piece + "@" + epoch, me);
+            tell(me + " owns " + piece + " under " + epoch + " from " + last + ", unknown " + open);
+            if (before != null && !before.equals(me)) {
+                violation("epoch " + epoch + " of " + piece + " went to " + before + " and to " + me);
+            }
+            standing.owns(piece, epoch, last, open);
+        }
+
+        /** A job is handed over after a while, and ends after another; one in twenty is refused at first. */
+        private void work(StandingJob job, long time, int attempt, Consumer<Standing.End> then) {
+            if (attempt == 0 && random.nextInt(20) == 0) {
+                after(random.nextInt(40), () -> then.accept(Standing.End.REFUSED));
+                return;
+            }
+            after(random.nextInt(40), () -> {
+                ran(job.name(), job.number(time), name + "/" + incarnation);
+                after(random.nextInt(40), () -> then.accept(Standing.End.SERVED));
+            });
+        }
+
+        @Override
+        public void handOver(String piece, long epoch, Runnable then) {
+            standing.handOver(piece, epoch, then);
+        }
+
+        @Override
+        public void lost(String piece, long epoch) {
+            tell(name + "/" + incarnation + " lost " + piece + " under " + epoch);
+            standing.lost(piece, epoch);
+        }
+    }
+
+    private void ran(String piece, long act, String who) {
+        int times = runs.merge(piece + "#" + act, 1, Integer::sum);
+        tell(who + " does " + piece + "#" + act);
+        if (times > 1 && piece.startsWith("once")) {
+            violation(piece + "#" + act + " was done twice, last by " + who);
+        }
+    }
+
+    // ---- time ----
+
+    private void at(long time, LabNode to, Runnable what) {
+        at(time, to, to.incarnation, what);
+    }
+
+    private void at(long time, LabNode to, int incarnation, Runnable what) {
+        events.add(new Event(Math.max(time, now), order++, to, incarnation, what));
+    }
+
+    private Outcome run() {
+        for (int i = 0; i < plan.nodes; i++) {
+            nodes.put("n" + i, new LabNode("n" + i));
+        }
+        nodes.values().forEach(node -> at(random.nextInt(200), node, -1, node::boot));
+        long calmFrom = plan.seconds * 1_000L;
+        events.add(new Event(4_000, order++, null, -1, this::trouble));
+        events.add(new Event(calmFrom, order++, null, -1, this::calm));
+        while (!events.isEmpty() && violation == null && now < calmFrom + CALM) {
+            Event event = events.poll();
+            now = event.at;
+            LabNode to = event.to;
+            if (to == null) {
+                event.what.run();
+            } else if (event.incarnation >= 0 && event.incarnation != to.incarnation) {
+                continue;
+            } else if (now < to.stalledUntil) {
+                // Stalled: what would run now runs when it wakes up, in the same order.
+                events.add(new Event(to.stalledUntil, event.order, to, event.incarnation, event.what));
+                continue;
+            } else {
+                try {
+                    event.what.run();
+                } catch (RuntimeException e) {
+                    violation(to.name + " failed: " + e + " at " + e.getStackTrace()[0]);
+                }
+            }
+            check();
+        }
+        if (violation == null) {
+            end();
+        }
+        return new Outcome(violation, history, runs.size(), unknown.size(), epochOf.size(), faults, longestGap,
+            messages, bytes, fingerprint);
+    }
+
+    private void tell(String what) {
+        history.add(now + " " + what);
+        if (history.size() > HISTORY) {
+            history.remove(0);
+        }
+    }
+
+    private void violation(String what) {
+        if (violation == null) {
+            violation = what;
+            tell("VIOLATED: " + what);
+        }
+    }
+
+    /** At no time do two nodes both believe, each by its own clock, that a piece is theirs. */
+    private void check() {
+        for (String piece : PIECES) {
+            String owner = null;
+            for (LabNode node : nodes.values()) {
+                if (node.up && node.member.owns(piece)) {
+                    if (owner != null) {
+                        violation(owner + " and " + node.name + " both own " + piece);
+                    }
+                    owner = node.name;
+                }
+            }
+            if (owner == null) {
+                unownedSince.putIfAbsent(piece, now);
+            } else if (unownedSince.containsKey(piece)) {
+                longestGap = Math.max(longestGap, now - unownedSince.remove(piece));
+            }
+        }
+    }
+
+    /** Once all is whole, each piece has an owner, and what may be done again was done. */
+    private void end() {
+        for (String piece : PIECES) {
+            if (unownedSince.containsKey(piece)) {
+                nodes.values().forEach(node -> tell(node.name + " life " + node.member.life() + " "
+                    + node.member.voting() + ", leader " + node.member.leader() + ", dropped "
+                    + node.member.dropped()));
+                violation("nobody owns " + piece + " since " + unownedSince.get(piece));
+            }
+        }
+        for (StandingJob job : JOBS) {
+            long last = job.number(now - 4 * LEASE);
+            for (long number = first.getOrDefault(job.name(), last); number < last && job.again(); number++) {
+                if (!runs.containsKey(job.name() + "#" + number) && leftOut.isEmpty()) {
+                    violation(job.name() + "#" + number + " is to be made up for, and was never done");
+                }
+            }
+        }
+    }
+
+    // ---- troubles ----
+
+    private boolean cut(String from, String to) {
+        return cutUntil.getOrDefault(from + ">" + to, 0L) > now;
+    }
+
+    private LabNode any() {
+        return nodes.get("n" + random.nextInt(plan.nodes));
+    }
+
+    private void trouble() {
+        List<Fault> kinds = new ArrayList<>(EnumSet.copyOf(plan.faults.isEmpty() ? EnumSet.of(Fault.DRIFT)
+            : plan.faults));
+        Fault fault = kinds.get(random.nextInt(kinds.size()));
+        long length = 200 + random.nextInt(random.nextInt(10) == 0 ? 10_000 : 3_000);
+        LabNode node = any();
+        faults++;
+        if (now + length < plan.seconds * 1_000L - 500) {
+            tell("trouble: " + fault + " at " + node.name + " for " + length + " ms");
+            begin(fault, node, length);
+        }
+        events.add(new Event(now + 300 + random.nextInt(2_500), order++, null, -1, () -> {
+            if (now < plan.seconds * 1_000L - 1_000) {
+                trouble();
+            }
+        }));
+    }
+
+    private void begin(Fault fault, LabNode node, long length) {
+        switch (fault) {
+            case LOSS -> {
+                loss = random.nextDouble() * 0.3;
+                later(length, () -> loss = 0);
+            }
+            case CUT -> nodes.keySet().forEach(other -> {
+                if (random.nextBoolean()) {
+                    cut(node.name, other, length);
+                    cut(other, node.name, length);
+                }
+            });
+            case ONE_WAY -> nodes.keySet().forEach(other -> cut(other, node.name, length));
+            case FLAP -> {
+                for (long t = 0; t < length; t += 300) {
+                    later(t, () -> nodes.keySet().forEach(other -> cut(node.name, other, 150)));
+                }
+            }
+            case STALL -> node.stalledUntil = Math.max(node.stalledUntil, now + length);
+            case CRASH -> crash(node, length);
+            case RESTART_ALL -> nodes.values().forEach(n -> crash(n, 50 + random.nextInt(500)));
+            case DISK -> node.shelf.fails = true;
+            case FORGET -> {
+                // One voter at a time can be lost for good; a command must bring another.
+                if (node.up && node.name.equals("n0")) {
+                    node.crash();
+                    node.shelf.forget();
+                    later(length, () -> restart(node));
+                }
+            }
+            case LEAVE -> {
+                if (node.up) {
+                    node.member.leaves(true);
+                    later(length, () -> {
+                        if (node.up) {
+                            node.member.leaves(false);
+                        }
+                    });
+                }
+            }
+            default -> { }
+        }
+        if (fault == Fault.DISK) {
+            later(length, () -> {
+                node.shelf.fails = false;
+                if (node.up && node.member.voting() != null) {
+                    // Whoever had a failing disk is started again once there is room.
+                    crash(node, 50);
+                }
+            });
+        }
+    }
+
+    private void cut(String from, String to, long length) {
+        if (!from.equals(to)) {
+            cutUntil.merge(from + ">" + to, now + length, Math::max);
+        }
+    }
+
+    private void crash(LabNode node, long length) {
+        if (node.up) {
+            node.crash();
+            later(length, () -> restart(node));
+        }
+    }
+
+    private void restart(LabNode node) {
+        if (!node.up) {
+            node.stalledUntil = 0;
+            node.boot();
+        }
+    }
+
+    private void later(long millis, Runnable what) {
+        events.add(new Event(now + millis, order++, null, -1, what));
+    }
+
+    private void calm() {
+        loss = 0;
+        cutUntil.clear();
+        nodes.values().forEach(node -> {
+            node.stalledUntil = 0;
+            if (!node.up) {
+                restart(node);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/member/Desk.java
@@ -0,0 +1,169 @@
+package gorserill.cluster.member;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gorserill.cluster.Ground;
+import gorserill.cluster.consensus.Voter;
+import gorserill.cluster.ownership.Entry;
+import gorserill.cluster.ownership.Register;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * Serves the members while this voter leads: puts entries into the log for them, renews leases, ends the lives
+ * of those not heard. Danger: a leader that was cut off does not know it; a lease is renewed only after a
+ * quorum said that it still leads.
+ */
+final class Desk {
+    /** Renewals are confirmed together, so many beats apart at the most. */
+    private static final double CONFIRM = 0.25;
+    /** Renewals that wait; beyond that they are dropped, and asked for again. */
+    private static final int WAITING = 1_024;
+
+    private final Terms terms;
+    private final Ground ground;
+    private final Voter voter;
+    private final Register register;
+    private final BiConsumer<String, ObjectNode> send;
+    private final Map<String, Heard> heardAt = new HashMap<>();
+    /** Lives whose end is proposed, by node: whether the log has it yet or not, they are renewed no more. */
+    private final Map<String, Long> closing = new HashMap<>();
+    private final List<Renewal> waiting = new ArrayList<>();
+    private boolean confirming;
+    private long leadsSince = -1;
+
+    /** When the life of that number was heard last. */
+    private record Heard(long life, long at) { }
+
+    private record Renewal(String node, long life, long at, long came) { }
+
+    Desk(Terms terms, Ground ground, Voter voter, Register register, BiConsumer<String, ObjectNode> send) {
+        this.terms = terms;
+        this.ground = ground;
+        this.voter = voter;
+        this.register = register;
+        this.send = send;
+    }
+
+    /** Danger: a new leader has heard nobody yet; all get a whole patience from here on. */
+    void leads(boolean now) {
+        leadsSince = now ? ground.millis() : -1;
+        heardAt.clear();
+        closing.clear();
+        waiting.clear();
+        confirming = false;
+        if (now) {
+            watch(leadsSince);
+        }
+    }
+
+    private void watch(long since) {
+        if (leadsSince != since) {
+            return;
+        }
+        for (Map.Entry<String, Register.Node> each : List.copyOf(register.nodes().entrySet())) {
+            long life = each.getValue().life;
+            Heard heard = heardAt.get(each.getKey());
+            if (heard == null || heard.life != life) {
+                // Danger: measured by when the life before was heard, a new one would be over at once.
+                heardAt.put(each.getKey(), new Heard(life, ground.millis()));
+            } else if (ground.millis() - heard.at > terms.patience()) {
+                heardAt.put(each.getKey(), new Heard(life, ground.millis()));
+                closing.put(each.getKey(), life);
+                put(new Entry.Close(each.getKey(), life, "not heard"), answer -> { });
+            }
+        }
+        ground.after(terms.beat(), () -> watch(since));
+    }
+
+    /** Puts an entry into the log, and tells those whose pieces that changed. */
+    private void put(Entry entry, java.util.function.Consumer<Register.Answer> then) {
+        Map<String, Long> before = new HashMap<>();
+        register.pieces().forEach((name, piece) -> before.put(name, piece.epoch));
+        voter.propose(Register.text(entry), result -> {
+            then.accept(result instanceof Register.Answer answer ? answer : null);
+            register.pieces().forEach((name, piece) -> {
+                if (piece.epoch != before.getOrDefault(name, 0L) && !piece.owner.isEmpty()) {
+                    // Danger: told now, a new owner need not wait for its next renewal.
+                    send.accept(piece.owner, view(piece.owner, -1));
+                }
+            });
+        });
+    }
+
+    void asked(String from, String process, long id, Entry entry) {
+        put(entry, answer -> {
+            if (answer != null) {
+                send.accept(from, message("told").put("process", process).put("id", id).put("done", answer.done())
+                    .put("why", answer.why()).put("number", answer.number()));
+            }
+        });
+    }
+
+    void renew(String from, long life, long at) {
+        if (waiting.size() < WAITING) {
+            waiting.add(new Renewal(from, life, at, ground.millis()));
+        }
+        if (!confirming) {
+            confirming = true;
+            ground.after((long) (terms.beat() * CONFIRM), this::confirm);
+        }
+    }
+
+    private void confirm() {
+        List<Renewal> batch = new ArrayList<>(waiting);
+        waiting.clear();
+        long since = leadsSince;
+        voter.confirm(leads -> {
+            if (since != leadsSince) {
+                return;
+            }
+            confirming = false;
+            if (leads) {
+                batch.forEach(this::renewed);
+            }
+            if (!waiting.isEmpty()) {
+                confirming = true;
+                ground.after((long) (terms.beat() * CONFIRM), this::confirm);
+            }
+        });
+    }
+
+    private void renewed(Renewal renewal) {
+        Register.Node node = register.nodes().get(renewal.node);
+        if (node != null && closing.getOrDefault(renewal.node, 0L) == node.life) {
+            // Danger: a lease renewed now would outlast the entry that ends this life.
+            return;
+        } else if (node != null && node.life == renewal.life) {
+            Heard heard = heardAt.get(renewal.node);
+            heardAt.put(renewal.node, new Heard(renewal.life, heard != null && heard.life == renewal.life
+                ? Math.max(heard.at, renewal.came) : renewal.came));
+        }
+        send.accept(renewal.node, view(renewal.node, renewal.at));
+    }
+
+    /** What a node owns, as of the log's last entry. */
+    private ObjectNode view(String to, long at) {
+        Register.Node node = register.nodes().get(to);
+        ObjectNode view = message("view").put("at", at).put("as_of", voter.applied())
+            .put("life", node == null ? 0 : node.life);
+        ArrayNode pieces = view.putArray("pieces");
+        register.pieces().forEach((name, piece) -> {
+            if (piece.owner.equals(to)) {
+                ObjectNode one = pieces.addObject().put("piece", name).put("epoch", piece.epoch)
+                    .put("last", piece.last).put("stays", to.equals(register.heir(name)));
+                ArrayNode unknown = one.putArray("unknown");
+                piece.unknown.forEach(unknown::add);
+            }
+        });
+        return view;
+    }
+
+    static ObjectNode message(String kind) {
+        return JsonNodeFactory.instance.objectNode().put("kind", kind);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/member/Member.java
@@ -0,0 +1,532 @@
+package gorserill.cluster.member;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gorserill.cluster.BadMessage;
+import gorserill.cluster.Ground;
+import gorserill.cluster.consensus.Shelf;
+import gorserill.cluster.consensus.Voter;
+import gorserill.cluster.ownership.Entry;
+import gorserill.cluster.ownership.Register;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * A node in the cluster. It asks the leader for a life in the register and renews its lease; while the lease
+ * holds, it owns what the register says. An act for the fleet is claimed in the log first, so an owner that
+ * was stalled and wakes up late does nothing that its successor did or will do, however long the stall.
+ */
+public final class Member {
+    /** Bytes of a message; a longer one is not sent. */
+    public static final int MOST = 16_384;
+    /** Renewals in a lease; some may be lost. */
+    private static final int RENEWALS = 5;
+    /** What is asked of the leader and waits for its answer. */
+    private static final int ASKING = 512;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** What came of a claim. */
+    public enum Claimed {
+        YES,
+        /** The act was claimed before, or may be; it must not be done. */
+        NO,
+        /** It is not in the log, and won't come into it by this question: it may be asked again later. */
+        LATER,
+        /** It may be in the log, or may yet; asked again by the same owner, the log says YES if it is. */
+        UNKNOWN
+    }
+
+    /** Faults that can be planted, so that checks are seen to find them. */
+    public enum Plant {
+        /** A lease counts from its answer's coming, and three times as long. */
+        LEASE_WITHOUT_MARGIN,
+        /** An owner takes its claim for granted. */
+        CLAIM_SKIPPED,
+        /** An owner goes on after its lease is over. */
+        OWNER_THAT_DOES_NOT_CHECK,
+        /** A new owner goes on under the epoch of the one before. */
+        EPOCH_NOT_KEPT,
+        /** A voter with an empty store votes as if it remembered. */
+        FORGOTTEN_VOTES
+    }
+
+    private static final class Held {
+        final long epoch;
+        boolean leaving;
+
+        Held(long epoch) {
+            this.epoch = epoch;
+        }
+    }
+
+    private static final class Question {
+        final Entry entry;
+        final Consumer<Register.Answer> then;
+        final long until;
+
+        Question(Entry entry, Consumer<Register.Answer> then, long until) {
+            this.entry = entry;
+            this.then = then;
+            this.until = until;
+        }
+    }
+
+    private final Terms terms;
+    private final Ground ground;
+    private final Duty duty;
+    private final Set<Plant> plants;
+    private final Register register;
+    /** Null at a node that does not vote. */
+    private final Voter voter;
+    private final Desk desk;
+    private final Map<String, Held> held = new TreeMap<>();
+    /** The epochs under which this node let go of pieces; it never takes them up again. */
+    private final Map<String, Long> letGo = new HashMap<>();
+    private final Set<String> yielding = new HashSet<>();
+    private final Map<Long, Question> asking = new TreeMap<>();
+    private final Map<String, Integer> dropped = new HashMap<>();
+    private long nextId = 1;
+    private int leaderAt;
+    private String leader;
+    private long life;
+    private long asOf = -1;
+    private long leaseUntil = Long.MIN_VALUE / 2;
+    private long alone = -1;
+    private boolean leaves;
+    private boolean stopped;
+    private boolean joining;
+    private boolean lived;
+    private boolean replaced;
+    private long boot;
+
+    /**
+     * @param shelf where a voter keeps what it must not forget; null at a node that does not vote
+     * @throws BadMessage where the shelf can't be read
+     */
+    public Member(Terms terms, Ground ground, Shelf shelf, long seed, Duty duty, Set<Plant> plants)
+        throws BadMessage {
+        this.terms = terms;
+        this.ground = ground;
+        this.duty = duty;
+        this.plants = plants;
+        boot = terms.boot();
+        register = new Register(plants.contains(Plant.EPOCH_NOT_KEPT));
+        if (terms.votes()) {
+            if (plants.contains(Plant.FORGOTTEN_VOTES)) {
+                Voter.plantFounded(shelf);
+            }
+            voter = new Voter(terms.cluster(), terms.node(), terms.voters(), terms.beat(), seed, ground, shelf,
+                (to, message) -> send(to, Desk.message("raft").set("raft", message)), register,
+                now -> this.leads(now));
+            desk = new Desk(terms, ground, voter, register, this::send);
+        } else {
+            voter = null;
+            desk = null;
+        }
+    }
+
+    private void leads(boolean now) {
+        desk.leads(now);
+    }
+
+    public void start() {
+        alone = ground.millis();
+        if (voter != null) {
+            voter.start();
+        }
+        renewal();
+    }
+
+    /** Ends at once, as a crash would; what was promised stays on the shelf. */
+    public void stop() {
+        stopped = true;
+        if (voter != null) {
+            voter.stop();
+        }
+    }
+
+    // ---- what this node is and has ----
+
+    /** Whether this node owns a piece at this moment, by its own clock. */
+    public boolean owns(String piece) {
+        return held.containsKey(piece) && inLease();
+    }
+
+    /** The epoch under which it does; 0 where it does not. */
+    public long epoch(String piece) {
+        return owns(piece) ? held.get(piece).epoch : 0;
+    }
+
+    /** The pieces that this node owns. */
+    public List<String> owned() {
+        return inLease() ? List.copyOf(held.keySet()) : List.of();
+    }
+
+    private boolean inLease() {
+        return ground.millis() < leaseUntil || plants.contains(Plant.OWNER_THAT_DOES_NOT_CHECK);
+    }
+
+    /** Since when, by the ground's clock, this node has had no word of a leader with a quorum; -1 where it has. */
+    public long aloneSince() {
+        return ground.millis() < leaseUntil ? -1 : alone;
+    }
+
+    public long life() {
+        return life;
+    }
+
+    /** Whether a newer process of this node's name took its place for good. */
+    public boolean replaced() {
+        return replaced;
+    }
+
+    /** Who leads, as far as this node knows; null where it does not. */
+    public String leader() {
+        return voter != null && voter.leader() != null ? voter.leader() : leader;
+    }
+
+    /** What a voter has applied of the log; empty at others, and late anywhere but at the leader. */
+    public Register register() {
+        return register;
+    }
+
+    /** Whether this node votes and takes part, or why not; null where it does not vote. */
+    public String voting() {
+        return voter == null ? null : voter.broken() != null ? voter.broken() : voter.leading() ? "leads" : "votes";
+    }
+
+    /** Messages that were not taken, by reason. */
+    public Map<String, Integer> dropped() {
+        return dropped;
+    }
+
+    // ---- what this node asks ----
+
+    /** It is to own nothing new, and hands over what it has; or no longer so. */
+    public void leaves(boolean so) {
+        leaves = so;
+        if (life > 0) {
+            ask(new Entry.Leave(terms.node(), life, so), answer -> { }, terms.lease());
+        }
+    }
+
+    /** Its life is over by its own wish. */
+    public void close(Runnable then) {
+        ask(new Entry.Close(terms.node(), life, "left"), answer -> then.run(), terms.lease());
+        lose();
+    }
+
+    /** Wants a piece at a node, or at nobody in particular; the answer comes within so many milliseconds, or null. */
+    public void transfer(String piece, String to, long wait, Consumer<Register.Answer> then) {
+        ask(new Entry.Transfer(piece, to), then, wait);
+    }
+
+    /**
+     * Claims an act. The answer comes once, within the lease, never from within this call. YES is given only for a claim that the log has
+     * under this node's epoch.
+     *
+     * @param again an act of unknown end is to be done once more, where that does no harm
+     */
+    public void claim(String piece, long act, boolean again, Consumer<Claimed> then) {
+        long epoch = epoch(piece);
+        if (epoch == 0 || held.get(piece).leaving || plants.contains(Plant.CLAIM_SKIPPED)) {
+            ground.after(0, () -> then.accept(epoch > 0 && plants.contains(Plant.CLAIM_SKIPPED) ? Claimed.YES
+                : Claimed.LATER));
+            return;
+        }
+        ask(new Entry.Claim(piece, epoch, act, again), answer -> then.accept(answer == null ? Claimed.UNKNOWN
+            : answer.done() ? Claimed.YES : answer.why().equals(Register.CLAIMED) ? Claimed.NO : Claimed.LATER),
+            Math.max(terms.beat(), leaseUntil - ground.millis()));
+    }
+
+    /** A claimed act has ended; told until the log has it. Danger: acts that stay open use up the piece's room. */
+    public void done(String piece, long epoch, long act) {
+        ask(new Entry.Done(piece, epoch, act), answer -> {
+            if (answer == null && !stopped) {
+                ground.after(terms.beat(), () -> done(piece, epoch, act));
+            }
+        }, terms.lease());
+    }
+
+    /** @param then the answer, or null where none came for so long */
+    private void ask(Entry entry, Consumer<Register.Answer> then, long wait) {
+        if (asking.size() >= ASKING) {
+            drop("questions beyond " + ASKING);
+            ground.after(0, () -> then.accept(null));
+            return;
+        }
+        long id = nextId++;
+        asking.put(id, new Question(entry, then, ground.millis() + wait));
+        ask(id);
+    }
+
+    private void ask(long id) {
+        Question question = asking.get(id);
+        if (question == null || stopped) {
+            return;
+        } else if (ground.millis() >= question.until) {
+            asking.remove(id);
+            question.then.accept(null);
+            return;
+        }
+        sendToLeader(Desk.message("ask").put("id", id).put("process", terms.process())
+            .put("entry", Register.text(question.entry)));
+        ground.after(Math.max(1, Math.min(2 * terms.beat(), question.until - ground.millis())), () -> {
+            if (asking.containsKey(id)) {
+                leaderUnheard();
+                ask(id);
+            }
+        });
+    }
+
+    // ---- the lease ----
+
+    private void renewal() {
+        if (stopped) {
+            return;
+        }
+        if (!inLease()) {
+            lose();
+        }
+        if (life == 0) {
+            join();
+        } else {
+            sendToLeader(Desk.message("renew").put("life", life).put("at", ground.millis()));
+        }
+        if (ground.millis() >= leaseUntil - terms.lease() / 2) {
+            leaderUnheard();
+        }
+        ground.after(Math.max(1, terms.lease() / RENEWALS), this::renewal);
+    }
+
+    private void join() {
+        if (joining || replaced) {
+            return;
+        }
+        joining = true;
+        ask(new Entry.Open(terms.node(), terms.process(), boot, terms.build(), terms.pieces()), answer -> {
+            joining = false;
+            if (answer != null && answer.why().equals(Register.OLDER)) {
+                // Danger: two processes of one name would take it from each other for ever. One that had a
+                // life gives way; one that is new and was started by a clock that went back goes on.
+                replaced = lived;
+                boot = answer.number() + 1;
+            } else if (answer != null && answer.done()) {
+                lived = true;
+                life = answer.number();
+                if (leaves) {
+                    leaves(true);
+                }
+                sendToLeader(Desk.message("renew").put("life", life).put("at", ground.millis()));
+            }
+        }, terms.lease());
+    }
+
+    /**
+     * Nothing is this node's any more, as far as it knows. Danger: taken up again under the same epoch, a piece
+     * would come with acts that this node has done and forgotten; it must come back under another.
+     */
+    private void lose() {
+        for (Map.Entry<String, Held> each : List.copyOf(held.entrySet())) {
+            held.remove(each.getKey());
+            letGo.put(each.getKey(), each.getValue().epoch);
+            duty.lost(each.getKey(), each.getValue().epoch);
+        }
+    }
+
+    private void yieldOnce(String piece, long epoch) {
+        if (yielding.add(piece)) {
+            ask(new Entry.Yield(piece, epoch), answer -> yielding.remove(piece), terms.lease());
+        }
+    }
+
+    private void viewed(JsonNode view) {
+        long at = view.path("at").asLong(-1);
+        long of = view.path("as_of").asLong(-1);
+        long its = view.path("life").asLong(0);
+        if (of < asOf || life == 0) {
+            // Danger: an old word, late on its way, would bring back what this node let go of.
+            return;
+        }
+        asOf = of;
+        if (!inLease()) {
+            // Danger: it ran out and nobody noticed; renewed as if it had not, whoever stopped would stay stopped.
+            lose();
+        }
+        if (its != life) {
+            // Another process of this name took its place, or it was not heard for too long.
+            life = 0;
+            leaseUntil = Long.MIN_VALUE / 2;
+            alone = ground.millis();
+            lose();
+            return;
+        }
+        if (at >= 0 && at <= ground.millis()) {
+            // Danger: counted from the asking, so that it ends here before the leader's patience does there.
+            long until = plants.contains(Plant.LEASE_WITHOUT_MARGIN) ? ground.millis() + 3 * terms.lease()
+                : at + (long) (terms.lease() * (1 - terms.drift()));
+            leaseUntil = Math.max(leaseUntil, until);
+            alone = Math.max(alone, leaseUntil);
+        }
+        if (inLease()) {
+            hold(view.path("pieces"));
+        }
+    }
+
+    private void hold(JsonNode pieces) {
+        Set<String> named = new HashSet<>();
+        for (JsonNode one : pieces) {
+            String piece = one.path("piece").asText();
+            long epoch = one.path("epoch").asLong();
+            if (epoch <= letGo.getOrDefault(piece, 0L)) {
+                // Danger: it is another's by now, or the log has not heard that this node let go, or never will.
+                yieldOnce(piece, epoch);
+                continue;
+            }
+            named.add(piece);
+            Held had = held.get(piece);
+            if (had != null && had.epoch != epoch) {
+                held.remove(piece);
+                duty.lost(piece, had.epoch);
+                had = null;
+            }
+            if (had == null) {
+                had = new Held(epoch);
+                held.put(piece, had);
+                TreeSet<Long> unknown = new TreeSet<>();
+                one.path("unknown").forEach(act -> unknown.add(act.asLong()));
+                duty.owns(piece, epoch, one.path("last").asLong(), unknown);
+            }
+            if (!one.path("stays").asBoolean(true) && !had.leaving) {
+                had.leaving = true;
+                duty.handOver(piece, epoch, () -> ground.after(0, () -> letGo(piece, epoch)));
+            }
+        }
+        for (String piece : new ArrayList<>(held.keySet())) {
+            if (!named.contains(piece)) {
+                duty.lost(piece, held.remove(piece).epoch);
+            }
+        }
+    }
+
+    private void letGo(String piece, long epoch) {
+        Held had = held.get(piece);
+        if (had != null && had.epoch == epoch && !stopped) {
+            held.remove(piece);
+            letGo.put(piece, epoch);
+            duty.lost(piece, epoch);
+            yieldOnce(piece, epoch);
+        }
+    }
+
+    // ---- the wire ----
+
+    private void leaderUnheard() {
+        leader = null;
+        leaderAt = (leaderAt + 1) % terms.voters().size();
+    }
+
+    private void sendToLeader(ObjectNode message) {
+        String to = voter != null && voter.leader() != null ? voter.leader()
+            : leader != null ? leader : terms.voters().get(leaderAt);
+        send(to, message);
+    }
+
+    private void send(String to, ObjectNode message) {
+        message.put("cluster", terms.cluster()).put("from", terms.node());
+        byte[] bytes = message.toString().getBytes(StandardCharsets.UTF_8);
+        if (bytes.length > MOST) {
+            drop("too long to send: " + message.path("kind").asText());
+        } else if (to.equals(terms.node())) {
+            ground.after(0, () -> heard(bytes));
+        } else {
+            ground.send(to, bytes);
+        }
+    }
+
+    private void drop(String reason) {
+        // Danger: reasons come from outside, too; so many kinds are kept apart and no more.
+        dropped.merge(dropped.size() < 64 ? reason : "others", 1, Integer::sum);
+    }
+
+    /** A message came in, from whomever. Gives the name that it comes under; null where it was not taken. */
+    public String heard(byte[] bytes) {
+        if (stopped) {
+            return null;
+        }
+        try {
+            JsonNode message = JSON.readTree(bytes);
+            if (message == null || !message.isObject()) {
+                drop("no JSON object");
+            } else if (!message.path("cluster").asText().equals(terms.cluster())) {
+                drop("another cluster's");
+            } else {
+                String from = message.path("from").asText();
+                heard(from, message);
+                return from;
+            }
+        } catch (JsonProcessingException e) {
+            drop("no JSON");
+        } catch (IOException | BadMessage e) {
+            drop(e.getMessage());
+        }
+        return null;
+    }
+
+    private void heard(String from, JsonNode message) throws BadMessage, IOException {
+        String kind = message.path("kind").asText();
+        switch (kind) {
+            case "raft" -> {
+                if (voter == null) {
+                    throw new BadMessage("raft: this node does not vote");
+                }
+                voter.heard(from, message.path("raft"));
+            }
+            case "ask", "renew" -> serve(from, kind, message);
+            case "told" -> {
+                // Danger: an answer to the process before this one would pass for an answer to this one.
+                Question question = message.path("process").asText().equals(terms.process())
+                    ? asking.remove(message.path("id").asLong()) : null;
+                if (question != null) {
+                    question.then.accept(new Register.Answer(message.path("done").asBoolean(),
+                        message.path("why").asText(), message.path("number").asLong()));
+                }
+            }
+            case "view" -> {
+                leader = from;
+                viewed(message);
+            }
+            case "where" -> {
+                String named = message.path("leader").asText("");
+                leader = terms.voters().contains(named) ? named : null;
+            }
+            default -> throw new BadMessage("kind: '" + kind + "' is none of this build's");
+        }
+    }
+
+    private void serve(String from, String kind, JsonNode message) throws BadMessage {
+        if (voter == null || !voter.leading()) {
+            send(from, Desk.message("where").put("leader", voter == null ? null : voter.leader()));
+        } else if (kind.equals("renew")) {
+            desk.renew(from, message.path("life").asLong(), message.path("at").asLong());
+        } else {
+            try {
+                desk.asked(from, message.path("process").asText(), message.path("id").asLong(),
+                    Register.entry(message.path("entry").asText()));
+            } catch (JsonProcessingException e) {
+                throw new BadMessage("entry: is none of this build's");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/ownership/Entry.java
@@ -0,0 +1,47 @@
+package gorserill.cluster.ownership;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+
+/** An entry of the replicated log. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "do")
+@JsonSubTypes({@JsonSubTypes.Type(value = Entry.Open.class, name = "open"),
+    @JsonSubTypes.Type(value = Entry.Close.class, name = "close"),
+    @JsonSubTypes.Type(value = Entry.Leave.class, name = "leave"),
+    @JsonSubTypes.Type(value = Entry.Yield.class, name = "yield"),
+    @JsonSubTypes.Type(value = Entry.Transfer.class, name = "transfer"),
+    @JsonSubTypes.Type(value = Entry.Claim.class, name = "claim"),
+    @JsonSubTypes.Type(value = Entry.Done.class, name = "done")})
+public sealed interface Entry {
+    /**
+     * A process of a node comes, and can own these pieces; the index of the entry becomes its life's number.
+     *
+     * @param process tells this process of the node from any other; the same one gets the same life again
+     * @param boot rises from process to process. Danger: a word of one that is gone may come late
+     * @param build of the program
+     */
+    record Open(String node, String process, long boot, String build, List<String> pieces) implements Entry { }
+
+    /** A node's life is over: it left, or was not heard for longer than its lease. */
+    record Close(String node, long life, String why) implements Entry { }
+
+    /** A node is to own nothing new and to hand over what it has; or no longer so. */
+    record Leave(String node, long life, boolean leaves) implements Entry { }
+
+    /** An owner lets go of a piece. */
+    record Yield(String piece, long epoch) implements Entry { }
+
+    /** An operator wants a piece at a node; an empty name takes that back. */
+    record Transfer(String piece, String to) implements Entry { }
+
+    /**
+     * An owner is about to do an act. Acts of a piece have rising numbers.
+     *
+     * @param again an act whose end is not known is to be done once more; only where that does no harm
+     */
+    record Claim(String piece, long epoch, long act, boolean again) implements Entry { }
+
+    /** A claimed act has ended, whoever owns the piece now. */
+    record Done(String piece, long epoch, long act) implements Entry { }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/ownership/Register.java
@@ -0,0 +1,325 @@
+package gorserill.cluster.ownership;
+
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorserill.cluster.consensus.Voter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.zip.CRC32C;
+
+/**
+ * The register of nodes, pieces and acts. The same entries in the same order give the same register at every
+ * voter. What it promises rests on that order alone, on no time:
+ *
+ * <ul>
+ * <li>a piece has one owner at a time, and each owner an epoch of its own, higher than any before;
+ * <li>an act is claimed by the owner of the present epoch or not at all, and once, or once more where it was
+ * said that this does no harm;
+ * <li>what was claimed and has no known end when its owner's life is over stays so ({@code UNKNOWN}) until
+ * its end is told, and is never given to another as if it were new.
+ * </ul>
+ */
+public final class Register implements Voter.Book {
+    /** Acts of a piece that are claimed and not done, at the most. Danger: unbounded, a stuck owner fills it. */
+    public static final int OPEN_ACTS = 32;
+    private static final int PIECES = 1_000;
+    private static final int NAMES = 1_000;
+    /** Why an act may not be claimed: it was before. */
+    public static final String CLAIMED = "that act was claimed";
+    /** Why a process may not open a life: there is a newer one of its name. */
+    public static final String OLDER = "a newer process of that name";
+    private static final ObjectMapper JSON = new ObjectMapper()
+        .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY);
+
+    /** What an entry's author is told. */
+    public record Answer(boolean done, String why, long number) {
+        static Answer yes(long number) {
+            return new Answer(true, "", number);
+        }
+
+        static Answer no(String why) {
+            return new Answer(false, why, 0);
+        }
+    }
+
+    /** A node's present life. */
+    public static final class Node {
+        public long life;
+        public String process;
+        public String build;
+        public boolean leaves;
+        public List<String> pieces = new ArrayList<>();
+    }
+
+    /** A piece of work. */
+    public static final class Piece {
+        public long epoch;
+        /** Empty where nobody owns it. */
+        public String owner = "";
+        /** Whom it is to go to, where an operator said so; else empty. */
+        public String wanted = "";
+        /** The highest act that was claimed. */
+        public long last;
+        /** Acts that are claimed and whose end was not told, with the epoch of their claim. */
+        public TreeMap<Long, Long> open = new TreeMap<>();
+        /** Those of them whose owner's life was over first. */
+        public TreeSet<Long> unknown = new TreeSet<>();
+    }
+
+    /** The newest process of a name, alive or not. */
+    public static final class Newest {
+        public String process;
+        public long boot;
+    }
+
+    private static final class State {
+        public TreeMap<String, Newest> newest = new TreeMap<>();
+        public TreeMap<String, Node> nodes = new TreeMap<>();
+        public TreeMap<String, Piece> pieces = new TreeMap<>();
+    }
+
+    private State state = new State();
+    /** A fault that can be planted, so that checks are seen to find it: a new owner under the old epoch. */
+    private final boolean epochNotKept;
+
+    public Register(boolean epochNotKept) {
+        this.epochNotKept = epochNotKept;
+    }
+
+    public Map<String, Node> nodes() {
+        return state.nodes;
+    }
+
+    public Map<String, Piece> pieces() {
+        return state.pieces;
+    }
+
+    /** The text of an entry, as the log keeps it. */
+    public static String text(Entry entry) {
+        try {
+            return JSON.writerFor(Entry.class).writeValueAsString(entry);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** @throws JsonProcessingException where it is no entry of this build */
+    public static Entry entry(String text) throws JsonProcessingException {
+        return JSON.readValue(text, Entry.class);
+    }
+
+    @Override
+    public Object apply(long index, String text) {
+        Entry entry;
+        try {
+            entry = entry(text);
+        } catch (JsonProcessingException e) {
+            // An entry of a later build: every voter of this build leaves it out alike.
+            return Answer.no("no entry of this build");
+        }
+        if (entry instanceof Entry.Open open) {
+            return open(index, open);
+        } else if (entry instanceof Entry.Close close) {
+            return close(close.node(), close.life());
+        } else if (entry instanceof Entry.Leave leave) {
+            Node node = state.nodes.get(leave.node());
+            if (node == null || node.life != leave.life()) {
+                return Answer.no("that life is over");
+            }
+            node.leaves = leave.leaves();
+            assign();
+            return Answer.yes(index);
+        } else if (entry instanceof Entry.Yield yield) {
+            return letGo(yield);
+        } else if (entry instanceof Entry.Transfer transfer) {
+            return transfer(transfer);
+        } else if (entry instanceof Entry.Claim claim) {
+            return claim(claim);
+        }
+        return done((Entry.Done) entry);
+    }
+
+    private Answer open(long index, Entry.Open open) {
+        Newest newest = state.newest.get(open.node());
+        boolean same = newest != null && newest.process.equals(open.process());
+        if (newest != null && !same && open.boot() <= newest.boot) {
+            return new Answer(false, OLDER, newest.boot);
+        }
+        Node node = state.nodes.get(open.node());
+        if (node != null && same) {
+            return Answer.yes(node.life);
+        } else if (node != null) {
+            close(open.node(), node.life);
+        }
+        remember(open);
+        Node fresh = new Node();
+        fresh.life = index;
+        fresh.process = open.process();
+        fresh.build = open.build();
+        fresh.pieces.addAll(open.pieces());
+        state.nodes.put(open.node(), fresh);
+        for (String piece : open.pieces()) {
+            if (state.pieces.size() < PIECES) {
+                state.pieces.computeIfAbsent(piece, p -> new Piece());
+            }
+        }
+        assign();
+        return Answer.yes(index);
+    }
+
+    /** Names that are gone are forgotten one by one when there are too many. */
+    private void remember(Entry.Open open) {
+        Newest newest = new Newest();
+        newest.process = open.process();
+        newest.boot = open.boot();
+        state.newest.put(open.node(), newest);
+        if (state.newest.size() > NAMES) {
+            state.newest.keySet().stream().filter(name -> !state.nodes.containsKey(name)
+                && !name.equals(open.node())).findFirst().ifPresent(state.newest::remove);
+        }
+    }
+
+    private Answer close(String name, long life) {
+        Node node = state.nodes.get(name);
+        if (node == null || node.life != life) {
+            return Answer.no("that life is over");
+        }
+        state.nodes.remove(name);
+        for (Piece piece : state.pieces.values()) {
+            if (piece.owner.equals(name)) {
+                piece.owner = "";
+                piece.unknown.addAll(piece.open.keySet());
+            }
+        }
+        assign();
+        return Answer.yes(life);
+    }
+
+    private Answer letGo(Entry.Yield yield) {
+        Piece piece = state.pieces.get(yield.piece());
+        if (piece == null || piece.epoch != yield.epoch() || piece.owner.isEmpty()) {
+            return Answer.no("that epoch is over");
+        }
+        piece.owner = "";
+        assign();
+        return Answer.yes(piece.epoch);
+    }
+
+    private Answer transfer(Entry.Transfer transfer) {
+        Piece piece = state.pieces.get(transfer.piece());
+        if (piece == null) {
+            return Answer.no("no piece of that name");
+        } else if (!transfer.to().isEmpty() && !able(transfer.to(), transfer.piece())) {
+            return Answer.no("no such node that can own it");
+        }
+        piece.wanted = transfer.to();
+        assign();
+        return Answer.yes(piece.epoch);
+    }
+
+    private Answer claim(Entry.Claim claim) {
+        Piece piece = state.pieces.get(claim.piece());
+        if (piece == null || piece.epoch != claim.epoch() || piece.owner.isEmpty()) {
+            return Answer.no("that epoch is over");
+        } else if (Long.valueOf(claim.epoch()).equals(piece.open.get(claim.act()))) {
+            // The owner asks again, since it did not hear the answer.
+            return Answer.yes(claim.act());
+        } else if (claim.again() && piece.unknown.remove(claim.act())) {
+            piece.open.put(claim.act(), claim.epoch());
+            return Answer.yes(claim.act());
+        } else if (claim.act() <= piece.last) {
+            return Answer.no(CLAIMED);
+        } else if (piece.open.size() >= OPEN_ACTS) {
+            return Answer.no("too many acts are open");
+        }
+        piece.last = claim.act();
+        piece.open.put(claim.act(), claim.epoch());
+        return Answer.yes(claim.act());
+    }
+
+    private Answer done(Entry.Done done) {
+        Piece piece = state.pieces.get(done.piece());
+        if (piece == null || !Long.valueOf(done.epoch()).equals(piece.open.get(done.act()))) {
+            return Answer.no("that act is not open under that epoch");
+        }
+        piece.open.remove(done.act());
+        piece.unknown.remove(done.act());
+        return Answer.yes(done.act());
+    }
+
+    // ---- who should own what ----
+
+    private boolean able(String name, String piece) {
+        Node node = state.nodes.get(name);
+        return node != null && !node.leaves && node.pieces.contains(piece);
+    }
+
+    /** Who is to own a piece; null where nobody can. */
+    public String heir(String name) {
+        Piece piece = state.pieces.get(name);
+        if (piece == null) {
+            return null;
+        } else if (able(piece.wanted, name)) {
+            return piece.wanted;
+        }
+        String best = null;
+        long most = 0;
+        for (String node : state.nodes.keySet()) {
+            if (able(node, name)) {
+                long weight = weight(node, name);
+                if (best == null || weight > most) {
+                    best = node;
+                    most = weight;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Highest random weight (Thaler and Ravishankar, 1998): who comes or goes moves its own part alone. */
+    private static long weight(String node, String piece) {
+        CRC32C hash = new CRC32C();
+        hash.update((node + "\n" + piece).getBytes(StandardCharsets.UTF_8));
+        long z = hash.getValue() * 0x9e3779b97f4a7c15L;
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        return (z ^ z >>> 27) >>> 1;
+    }
+
+    /** Pieces that nobody owns go to their heirs; an owner that is not the heir lets go by itself. */
+    private void assign() {
+        for (Map.Entry<String, Piece> each : state.pieces.entrySet()) {
+            Piece piece = each.getValue();
+            String heir = piece.owner.isEmpty() ? heir(each.getKey()) : null;
+            if (heir != null) {
+                piece.owner = heir;
+                piece.epoch += epochNotKept && piece.epoch > 0 ? 0 : 1;
+                // What the one before claimed and did not end is for its successor to know as unknown.
+                piece.unknown.addAll(piece.open.keySet());
+            }
+        }
+    }
+
+    @Override
+    public String snapshot() {
+        try {
+            return JSON.writeValueAsString(state);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void restore(String snapshot) {
+        try {
+            state = snapshot == null ? new State() : JSON.readValue(snapshot, State.class);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("the snapshot can't be read: " + e.getOriginalMessage(), e);
+        }
+    }
+}
--- a/src/main/java/gorserill/common/Loop.java
+++ b/src/main/java/gorserill/common/Loop.java
@@ -28,7 +28,7 @@
     private final LongSupplier nanos;
     private final long nanosAtStart;
     private final long unixAtStart = System.currentTimeMillis();
-    private final Thread thread = new Thread(this::run, "core");
+    private final Thread thread;
     private volatile boolean stopped;
 
     /** @param failed is told what an event or deadline threw; the loop then goes on */
@@ -38,6 +38,12 @@
 
     /** @param nanos the clock, in nanoseconds from any moment on */
     public Loop(Consumer<Throwable> failed, LongSupplier nanos) {
+        this(failed, nanos, "core");
+    }
+
+    /** @param name the thread's, for a loop beside the core's that owns something else */
+    public Loop(Consumer<Throwable> failed, LongSupplier nanos, String name) {
+        thread = new Thread(this::run, name);
         this.failed = failed;
         this.nanos = nanos;
         nanosAtStart = nanos.getAsLong();
--- /dev/null
+++ b/src/main/java/gorserill/program/ClusterConfig.java
@@ -0,0 +1,167 @@
+package gorserill.program;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorserill.cluster.member.Member;
+import gorserill.cluster.standing.StandingJob;
+import gorserill.protocol.ClassTerms;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The cluster's file: who the members are, which of them vote, and the standing jobs.
+ *
+ * @param members addresses by name; nodes that are not among them are answered where they speak from
+ * @param store the folder of what a voter must not forget; null at a node that does not vote
+ */
+record ClusterConfig(String cluster, InetSocketAddress listen, Map<String, InetSocketAddress> members,
+                     List<String> voters, Path store, long beat, long lease, double drift,
+                     List<StandingJob> jobs, Set<Member.Plant> plants) {
+    private static final int MOST_JOBS = 64;
+
+    /** What the file says, checked; null where there is none or it does not enable the cluster. */
+    static ClusterConfig read(Path file, String node, Map<String, ClassTerms> classes) throws ConfigException {
+        if (!Files.isRegularFile(file)) {
+            return null;
+        }
+        Map<String, String> values;
+        try (JsonParser json = new JsonFactory().createParser(Files.readString(file))) {
+            json.nextToken();
+            values = Flattener.flatten(json);
+        } catch (IOException e) {
+            throw new ConfigException(file.toString(), "can't be read: " + e.getMessage());
+        }
+        // Danger: a list of texts above is told apart by commas; a job's body must come as it was written.
+        String enabled = values.getOrDefault("enabled", "false");
+        if (!enabled.equals("true") && !enabled.equals("false")) {
+            throw new ConfigException(file + ": enabled", "must be true or false, not '" + enabled + "'");
+        } else if (enabled.equals("false")) {
+            return null;
+        }
+        Map<String, InetSocketAddress> members = new LinkedHashMap<>();
+        Set<String> jobNames = new TreeSet<>();
+        for (Map.Entry<String, String> value : values.entrySet()) {
+            if (value.getKey().startsWith("members.")) {
+                members.put(value.getKey().substring(8),
+                    NodeConfig.address(value.getValue(), file + ": " + value.getKey()));
+            } else if (value.getKey().startsWith("standing.")) {
+                jobNames.add(value.getKey().split("\\.")[1]);
+            }
+        }
+        List<String> voters = List.of(text(file, values, "voters").split(" *, *"));
+        if (voters.size() % 2 == 0 || voters.size() > 5 || Set.copyOf(voters).size() != voters.size()) {
+            throw new ConfigException(file + ": voters", "name 1, 3 or 5 different nodes, not " + voters);
+        }
+        for (String voter : voters) {
+            if (!members.containsKey(voter) && !voter.equals(node)) {
+                throw new ConfigException(file + ": members." + voter, "is missing: its address, as a voter's");
+            }
+        }
+        long beat = number(file, values, "beat_ms", 200, 20, 10_000);
+        long lease = number(file, values, "lease_ms", 3_000, 10 * beat, 600_000);
+        if (jobNames.size() > MOST_JOBS) {
+            throw new ConfigException(file + ": standing", jobNames.size() + " jobs, " + MOST_JOBS + " at most");
+        }
+        List<StandingJob> jobs = new ArrayList<>();
+        JsonNode tree;
+        try {
+            tree = new ObjectMapper().readTree(file.toFile());
+        } catch (IOException e) {
+            throw new ConfigException(file.toString(), "can't be read: " + e.getMessage());
+        }
+        for (String name : jobNames) {
+            if (!name.matches("[A-Za-z0-9_-]{1,40}")) {
+                throw new ConfigException(file + ": standing." + name,
+                    "a job's name is of letters, digits, - and _, 40 at most");
+            }
+            JsonNode body = tree.path("standing").path(name).path("body");
+            jobs.add(job(file, values, name, body.isContainerNode() ? body.toString() : body.asText(), classes));
+        }
+        return new ClusterConfig(text(file, values, "cluster"),
+            NodeConfig.address(text(file, values, "listen"), file + ": listen"), members, voters,
+            voters.contains(node) ? Path.of(text(file, values, "store")) : null, beat, lease,
+            number(file, values, "drift_percent", 5, 0, 25) / 100.0, jobs, plants(file, values));
+    }
+
+    private static StandingJob job(Path file, Map<String, String> values, String name, String body,
+                                   Map<String, ClassTerms> classes) throws ConfigException {
+        String at = "standing." + name + ".";
+        String jobClass = text(file, values, at + "class");
+        ClassTerms terms = classes.get(jobClass);
+        if (terms == null) {
+            throw new ConfigException(file + ": " + at + "class", "class '" + jobClass
+                + "' is not among the settings' " + classes.keySet());
+        }
+        boolean daily = values.containsKey(at + "at");
+        if (daily == values.containsKey(at + "every_ms")) {
+            throw new ConfigException(file + ": " + at + "every_ms", "give either this or " + at + "at");
+        }
+        LocalTime time = null;
+        ZoneId zone = null;
+        try {
+            time = daily ? LocalTime.parse(values.get(at + "at")) : null;
+            zone = daily ? ZoneId.of(text(file, values, at + "zone")) : null;
+        } catch (DateTimeException e) {
+            throw new ConfigException(file + ": " + at + (time == null ? "at" : "zone"), e.getMessage()
+                + "; give a time as 06:30 and a zone as America/Guayaquil");
+        }
+        long every = daily ? 0 : number(file, values, at + "every_ms", 0, 100, 7L * 86_400_000);
+        String missed = values.getOrDefault(at + "missed", "last");
+        if (!Set.of("skip", "last", "all").contains(missed)) {
+            throw new ConfigException(file + ": " + at + "missed", "must be skip, last or all, not '" + missed + "'");
+        }
+        return new StandingJob(name, jobClass, body, every, time, zone,
+            StandingJob.Missed.valueOf(missed.toUpperCase(java.util.Locale.ROOT)),
+            number(file, values, at + "late_ms", daily ? 60_000 : every, 1, 86_400_000), !terms.unsafe());
+    }
+
+    /** Faults for drills; a node that has one says so at its start, loudly. */
+    private static Set<Member.Plant> plants(Path file, Map<String, String> values) throws ConfigException {
+        Set<Member.Plant> plants = EnumSet.noneOf(Member.Plant.class);
+        try {
+            if (!values.getOrDefault("plant", "").isEmpty()) {
+                plants.add(Member.Plant.valueOf(values.get("plant")));
+            }
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException(file + ": plant", "is none of " + EnumSet.allOf(Member.Plant.class));
+        }
+        return plants;
+    }
+
+    private static String text(Path file, Map<String, String> values, String key) throws ConfigException {
+        String text = values.getOrDefault(key, "").strip();
+        if (text.isEmpty()) {
+            throw new ConfigException(file + ": " + key, "is missing");
+        }
+        return text;
+    }
+
+    private static long number(Path file, Map<String, String> values, String key, long otherwise, long least,
+                               long most) throws ConfigException {
+        String text = values.get(key);
+        try {
+            long number = text == null ? otherwise : Long.parseLong(text);
+            if (number >= least && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, like a number that can't be.
+        }
+        throw new ConfigException(file + ": " + key, "'" + text + "' is no whole number from " + least + " to "
+            + most);
+    }
+}
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -42,6 +42,7 @@
     /** An address that is still in use is tried this often. */
     private static final long BIND_AGAIN = 100_000;
     private static final long MINUTE = 60_000_000;
+    private static final String BUILD = "0.1.0";
 
     private final NodeConfig config;
     private final Map<String, String> environment;
@@ -59,6 +60,8 @@
     /** Null where other nodes are not spoken to. */
     private volatile PeerPort peers;
     private FaktoryFront faktory;
+    /** Null where the node is no member of a cluster. */
+    private ClusterPart cluster;
     private Lifecycle life;
     private Figures figures;
     private final List<Transport.Listening> listeners = new ArrayList<>();
@@ -150,9 +153,13 @@
         if (config.peers != null) {
             loop.execute(this::hearPeers);
         }
+        if (config.cluster != null) {
+            cluster = new ClusterPart(config.cluster, config.name, BUILD, loop, core, config.settings,
+                config.classNames);
+        }
         if (config.admin != null) {
             AdminFront admin = new AdminFront(loop, new OperatorCalls(life, maintenance, figures,
-                this::contracts, this::reload).byName());
+                this::contracts, this::reload, cluster == null ? null : cluster::call).byName());
             loop.execute(() -> listenOnceFree("operators", config.admin, () ->
                 transport.listenApart(config.admin, new LineCodec(), admin::accept,
                     NodeConfig.ADMIN_CONNECTIONS)));
@@ -253,6 +260,9 @@
             }
         }
         LOG.log(Level.INFO, "{0} is ready: {1}", new Object[] {config.name, why});
+        if (cluster != null) {
+            cluster.start();
+        }
         life.started();
         readied.countDown();
     }
@@ -325,6 +335,9 @@
 
     /** Answers what is open, takes what still comes for a while, then ends; any thread may call it. */
     void drain() {
+        if (cluster != null) {
+            cluster.leave();
+        }
         loop.execute(() -> life.end(config.settings.classes().stream().mapToLong(c -> c.deadline()).max()
             .orElse(0)));
     }
@@ -333,6 +346,9 @@
     void awaitEnd() throws InterruptedException {
         done.await();
         LOG.log(Level.INFO, "{0} ends, {1} requests open", new Object[] {config.name, core.openRequests()});
+        if (cluster != null) {
+            cluster.stop();
+        }
         stop();
     }
 
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -64,6 +64,8 @@
     final long connectionIdle;
     /** Null where the front is off. */
     final FaktoryTerms faktory;
+    /** Null where the node is no member of a cluster. */
+    final ClusterConfig cluster;
     /** Null where no description binds the HTTP front: then its paths are the classes' names. */
     final Contract contract;
 
@@ -121,6 +123,8 @@
         unused = parser.unused();
         faktory = FaktoryConfig.read(Path.of(environment.getOrDefault("GORSERILL_FAKTORY",
             "deploy/faktory.json")), classNames, classTerms(), jobRules());
+        cluster = ClusterConfig.read(Path.of(environment.getOrDefault("GORSERILL_CLUSTER", "deploy/cluster.json")),
+            name, classTerms());
         String openApi = environment.get("GORSERILL_OPENAPI");
         contract = openApi == null ? null : Descriptions.read("GORSERILL_OPENAPI", Path.of(openApi),
             Contract.Kind.OPENAPI, jobRules());
@@ -192,6 +196,7 @@
         changed.put("limits.memory_mb", memory != later.memory);
         changed.put("settings", !values.equals(later.values));
         changed.put("faktory: enabled", (faktory == null) != (later.faktory == null));
+        changed.put("cluster", !Objects.equals(cluster, later.cluster));
         changed.put("faktory: listen", faktory != null && later.faktory != null
             && !faktory.listen().equals(later.faktory.listen()));
         changed.values().removeIf(is -> !is);
--- a/src/main/java/gorserill/program/OperatorCalls.java
+++ b/src/main/java/gorserill/program/OperatorCalls.java
@@ -3,6 +3,7 @@
 import gorserill.protocol.admin.AdminFront;
 import gorserill.protocol.admin.AdminFront.Call;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -14,14 +15,17 @@
 
     private final Supplier<String> contracts;
     private final Consumer<Consumer<String>> reload;
+    private final BiConsumer<String, Consumer<String>> cluster;
 
     /**
      * @param contracts tells of the contracts' versions, a line each
      * @param reload reads the configuration again and tells, on the loop's thread, what is wrong with it, or
      *     null
+     * @param cluster answers what is asked of the cluster, on the loop's thread; null where there is none
      */
     OperatorCalls(Lifecycle life, Maintenance maintenance, Figures figures, Supplier<String> contracts,
-                  Consumer<Consumer<String>> reload) {
+                  Consumer<Consumer<String>> reload, BiConsumer<String, Consumer<String>> cluster) {
+        this.cluster = cluster;
         this.contracts = contracts;
         this.reload = reload;
         this.figures = figures;
@@ -34,6 +38,13 @@
             "contract", about -> contracts.get(),
             "reload", new AdminFront.Later((about, to) -> reload.accept(fault ->
                 to.accept(AdminFront.answer(fault == null, fault)))),
+            "cluster", new AdminFront.Later((about, to) -> {
+                if (cluster == null) {
+                    to.accept(AdminFront.answer(false, "this node is no member of a cluster"));
+                } else {
+                    cluster.accept(about, to);
+                }
+            }),
             "readyz", about -> AdminFront.answer(life.up(), "it does not serve yet, or no more"),
             "telemetry", about -> figures.text(),
             "exclude", worker -> maintain(worker, true),
--- /dev/null
+++ b/src/test/java/gorserill/cluster/LabTest.java
@@ -0,0 +1,67 @@
+package gorserill.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import gorserill.cluster.lab.Lab;
+import gorserill.cluster.lab.Lab.Fault;
+import gorserill.cluster.lab.Lab.Outcome;
+import gorserill.cluster.lab.Lab.Plan;
+import gorserill.cluster.member.Member.Plant;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Members, log and owners in virtual time: the rules hold for every seed, and a planted fault is found. */
+public class LabTest {
+    private static final Set<Fault> ALL = EnumSet.allOf(Fault.class);
+
+    private static List<Outcome> runs(int nodes, long seeds, Set<Fault> faults, Set<Plant> plants) {
+        return LongStream.range(0, seeds).parallel()
+            .mapToObj(seed -> Lab.run(new Plan(nodes, Math.min(3, nodes), 30, seed, faults, plants))).toList();
+    }
+
+    @DataProvider
+    public Object[][] clusters() {
+        return new Object[][] {{3, 400, ALL}, {5, 60, ALL}, {9, 20, ALL}, {1, 20, EnumSet.of(Fault.CRASH, Fault.STALL)},
+            {3, 60, EnumSet.of(Fault.FORGET, Fault.CUT, Fault.CRASH)}, {3, 60, EnumSet.of(Fault.STALL, Fault.DRIFT)}};
+    }
+
+    @Test(dataProvider = "clusters")
+    public void noSeedBreaksARule(int nodes, int seeds, Set<Fault> faults) {
+        List<Outcome> outcomes = runs(nodes, seeds, faults, Set.of());
+        for (int seed = 0; seed < seeds; seed++) {
+            Outcome outcome = outcomes.get(seed);
+            assertNull(outcome.violation(), "seed " + seed + ": " + outcome.violation() + "\n"
+                + String.join("\n", outcome.history()));
+        }
+        assertTrue(outcomes.stream().mapToInt(Outcome::acts).sum() > 100 * seeds, "acts were done");
+    }
+
+    @Test
+    public void theSameSeedGivesTheSameRunToTheByte() {
+        Plan plan = new Plan(3, 3, 20, 11, ALL, Set.of());
+        Outcome first = Lab.run(plan);
+        assertEquals(Lab.run(plan), first);
+        assertNotEquals(Lab.run(new Plan(3, 3, 20, 12, ALL, Set.of())).fingerprint(), first.fingerprint());
+    }
+
+    @DataProvider
+    public Object[][] plants() {
+        Set<Fault> forget = EnumSet.of(Fault.FORGET, Fault.CUT);
+        return new Object[][] {{Plant.CLAIM_SKIPPED, 10, ALL}, {Plant.EPOCH_NOT_KEPT, 10, ALL},
+            {Plant.LEASE_WITHOUT_MARGIN, 30, ALL}, {Plant.OWNER_THAT_DOES_NOT_CHECK, 30, ALL},
+            {Plant.FORGOTTEN_VOTES, 120, forget}};
+    }
+
+    @Test(dataProvider = "plants")
+    public void aPlantedFaultIsFound(Plant plant, int seeds, Set<Fault> faults) {
+        assertTrue(runs(3, seeds, faults, Set.of(plant)).stream().anyMatch(o -> o.violation() != null),
+            plant + " was not found in " + seeds + " seeds");
+    }
+}
--- a/src/test/java/gorserill/routing/ImportsTest.java
+++ b/src/test/java/gorserill/routing/ImportsTest.java
@@ -71,6 +71,20 @@
         assertEquals(found, List.of());
     }
 
+    /** The cluster's decisions are free of I/O and clock; only its disk shelf opens a file, and nothing a socket. */
+    @Test
+    public void theClusterStandsOnItsGroundAlone() throws IOException {
+        List<String> found = new ArrayList<>(naming("cluster", "grizzly", "java.net", "gorserill.protocol",
+            "gorserill.transport", "gorserill.program", "gorserill.routing", "gorserill.common", "barrowflow",
+            "nanoTime", "currentTimeMillis", "new Thread", "Instant.now", "LocalDate.now", "Math.random"));
+        found.addAll(naming("cluster", "java.nio.file", "java.io.File").stream()
+            .filter(line -> !line.contains("DiskShelf.java")).toList());
+        found.addAll(naming("cluster/ownership", "cluster.member", "cluster.standing", "cluster.lab"));
+        found.addAll(naming("cluster/consensus", "cluster.member", "cluster.standing", "cluster.lab",
+            "cluster.ownership"));
+        assertEquals(found, List.of());
+    }
+
     /** Decisions are the module's: the codecs and fronts do not know it. */
     @Test
     public void codecsDecideNothing() throws IOException {
