--- a/src/main/java/gorserill/cluster/member/Member.java
+++ b/src/main/java/gorserill/cluster/member/Member.java
@@ -28,8 +28,8 @@
  * was stalled and wakes up late does nothing that its successor did or will do, however long the stall.
  */
 public final class Member {
-    /** Bytes of a message; a longer one is not sent. */
-    public static final int MOST = 16_384;
+    /** Bytes of a message; a longer one is not sent. A node's view of 64 pieces with all their acts fits. */
+    public static final int MOST = 60_000;
     /** Renewals in a lease; some may be lost. */
     private static final int RENEWALS = 5;
     /** What is asked of the leader and waits for its answer. */
--- a/src/main/java/gorserill/program/ClusterPart.java
+++ b/src/main/java/gorserill/program/ClusterPart.java
@@ -54,7 +54,7 @@
     private final Member member;
     /** Where nodes that no file names were heard from. */
     private final Map<String, InetSocketAddress> learned = new LinkedHashMap<>();
-    private boolean started;
+    private volatile boolean started;
 
     /** @throws IOException where the address or the store can't be had; it names which */
     ClusterPart(ClusterConfig config, String node, String build, Loop coreLoop, Core core, Settings settings,
@@ -140,6 +140,10 @@
     void call(String about, Consumer<String> to) {
         Consumer<String> back = text -> coreLoop.execute(() -> to.accept(text));
         String[] words = about.strip().split("\\s+");
+        if (!started) {
+            to.accept("fail this node does not serve yet, and is no member before it does\n");
+            return;
+        }
         loop.execute(() -> {
             if (about.isBlank()) {
                 back.accept(ClusterText.of(member, node, millis()));
