A process test no longer hangs on which of two connections is read first

Change: a third connection's answer comes between them, which the node's one selector can only give after the first one's bytes.

--- a/src/test/java/gorserill/program/ProgramTest.java
+++ b/src/test/java/gorserill/program/ProgramTest.java
@@ -277,6 +277,9 @@
         playShort("exec \"$@\"", 1024, 1, """
             A connect clients
             A send POST /estado HTTP/1.1\\r\\nX-Txn: m-1\\r\\nContent-Length: 60000\\r\\n\\r\\n${40k}
+            N connect clients
+            N send GET /healthz HTTP/1.1\\r\\n\\r\\n
+            N expect HTTP/1.1
             C connect clients
             C send POST /estado HTTP/1.1\\r\\nX-Txn: m-2\\r\\nContent-Length: 40961\\r\\n\\r\\n${40k}
             C expect 503 
