One place reads whether a part of the node is on; what nobody calls in the cluster is gone

Need: read again, ClusterConfig repeated FaktoryConfig's first lines, and Voter and Drill had methods that nothing calls. Measured: NodeConfigTest, BadInputTest, ImportsTest and CommandTest pass.

--- a/src/main/java/gorserill/cluster/consensus/Voter.java
+++ b/src/main/java/gorserill/cluster/consensus/Voter.java
@@ -76,7 +76,6 @@
     private boolean leading;
     private long applied;
     private boolean ended;
-    private int restarts;
     private String broken;
 
     /**
@@ -144,18 +143,12 @@
             applied = 0;
             book.restore(null);
             build();
-            restarts++;
             raft.start();
         } catch (BadMessage e) {
             storeFailed(new IOException(e.getMessage()));
         }
     }
 
-    /** How often this voter was made anew since it followed a leader that was gone. */
-    public int restarts() {
-        return restarts;
-    }
-
     /** Plants a fault: a voter whose store is empty goes on as if the cluster had been founded with it. */
     public static void plantFounded(Shelf shelf) {
         shelf.put(Founding.KEY, Founding.Stage.FOUNDED.name());
@@ -234,11 +227,6 @@
             then.accept(fault == null && !ended ? result.getResult() : null)));
     }
 
-    /** Hands the lead to another voter. */
-    public void handOver(String to) {
-        raft.transferLeadership(new Endpoint(to));
-    }
-
     private void storeFailed(IOException e) {
         broken = "its store failed: " + e.getMessage();
         ended = true;
--- a/src/main/java/gorserill/program/ClusterConfig.java
+++ b/src/main/java/gorserill/program/ClusterConfig.java
@@ -1,7 +1,5 @@
 package gorserill.program;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gorserill.cluster.member.Member;
@@ -9,7 +7,6 @@
 import gorserill.protocol.ClassTerms;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.DateTimeException;
 import java.time.LocalTime;
@@ -35,21 +32,8 @@
 
     /** What the file says, checked; null where there is none or it does not enable the cluster. */
     static ClusterConfig read(Path file, String node, Map<String, ClassTerms> classes) throws ConfigException {
-        if (!Files.isRegularFile(file)) {
-            return null;
-        }
-        Map<String, String> values;
-        try (JsonParser json = new JsonFactory().createParser(Files.readString(file))) {
-            json.nextToken();
-            values = Flattener.flatten(json);
-        } catch (IOException e) {
-            throw new ConfigException(file.toString(), "can't be read: " + e.getMessage());
-        }
-        // Danger: a list of texts above is told apart by commas; a job's body must come as it was written.
-        String enabled = values.getOrDefault("enabled", "false");
-        if (!enabled.equals("true") && !enabled.equals("false")) {
-            throw new ConfigException(file + ": enabled", "must be true or false, not '" + enabled + "'");
-        } else if (enabled.equals("false")) {
+        Map<String, String> values = Flattener.enabled(file);
+        if (values == null) {
             return null;
         }
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
@@ -77,6 +61,7 @@
             throw new ConfigException(file + ": standing", jobNames.size() + " jobs, " + MOST_JOBS + " at most");
         }
         List<StandingJob> jobs = new ArrayList<>();
+        // Danger: flattened, texts lose their commas and spaces; a job's body must come as it was written.
         JsonNode tree;
         try {
             tree = new ObjectMapper().readTree(file.toFile());
--- a/src/main/java/gorserill/program/FaktoryConfig.java
+++ b/src/main/java/gorserill/program/FaktoryConfig.java
@@ -1,13 +1,9 @@
 package gorserill.program;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
 import gorserill.contract.Contract;
 import gorserill.contract.JobRule;
 import gorserill.protocol.ClassTerms;
 import gorserill.protocol.faktory.FaktoryTerms;
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,20 +16,8 @@
     /** What the file says, checked; null where there is none or it does not enable the front. */
     static FaktoryTerms read(Path file, List<String> classNames, Map<String, ClassTerms> classes,
                              Map<String, JobRule> rules) throws ConfigException {
-        if (!Files.isRegularFile(file)) {
-            return null;
-        }
-        Map<String, String> values;
-        try (JsonParser json = new JsonFactory().createParser(Files.readString(file))) {
-            json.nextToken();
-            values = Flattener.flatten(json);
-        } catch (IOException e) {
-            throw new ConfigException(file.toString(), "can't be read: " + e.getMessage());
-        }
-        String enabled = values.getOrDefault("enabled", "false");
-        if (!enabled.equals("true") && !enabled.equals("false")) {
-            throw new ConfigException(file + ": enabled", "must be true or false, not '" + enabled + "'");
-        } else if (enabled.equals("false")) {
+        Map<String, String> values = Flattener.enabled(file);
+        if (values == null) {
             return null;
         } else if (!values.containsKey("listen")) {
             throw new ConfigException(file + ": listen", "is missing");
--- a/src/main/java/gorserill/program/Flattener.java
+++ b/src/main/java/gorserill/program/Flattener.java
@@ -1,8 +1,11 @@
 package gorserill.program;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +24,25 @@
         this.separator = separator;
     }
 
+    /** What a file says of a part of the node; null where there is none or it leaves that part off. */
+    static Map<String, String> enabled(Path file) throws ConfigException {
+        if (!Files.isRegularFile(file)) {
+            return null;
+        }
+        Map<String, String> values;
+        try (JsonParser json = new JsonFactory().createParser(Files.readString(file))) {
+            json.nextToken();
+            values = flatten(json);
+        } catch (IOException e) {
+            throw new ConfigException(file.toString(), "can't be read: " + e.getMessage());
+        }
+        String enabled = values.getOrDefault("enabled", "false");
+        if (!enabled.equals("true") && !enabled.equals("false")) {
+            throw new ConfigException(file + ": enabled", "must be true or false, not '" + enabled + "'");
+        }
+        return enabled.equals("true") ? values : null;
+    }
+
     /** Reads the value that is the parser's present token. */
     static Map<String, String> flatten(JsonParser json) throws IOException {
         return flatten(json, ".");
--- a/src/main/java/gorserill/program/drill/Drill.java
+++ b/src/main/java/gorserill/program/drill/Drill.java
@@ -235,7 +235,7 @@
 
     private boolean answers(Node node) {
         try {
-            return client(node).send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.clients
+            return http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.clients
                 + "/healthz")).timeout(Duration.ofSeconds(1)).build(), HttpResponse.BodyHandlers.ofString())
                 .statusCode() == 200;
         } catch (IOException e) {
@@ -248,10 +248,6 @@
 
     private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
 
-    private HttpClient client(Node node) {
-        return http;
-    }
-
     private void play() throws IOException, InterruptedException {
         List<Thread> clients = new ArrayList<>();
         for (Node node : nodes) {
