--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -409,8 +409,8 @@
 
     /**
      * Finds where an own job waits, and offers a copy where its class bears one; the first to start goes on.
-     * Danger: where a cancel stops no work, each copy is a run for nothing, and nothing tells where. So a copy
-     * has to bid by the slot-second, as jobs do, what it is likely to save.
+     * Danger: where a cancel stops no work, each copy is a run for nothing, and nothing tells where. So a
+     * copy has to bid by the slot-second, as jobs do, what it is likely to save.
      */
     private void watchAttempts(long now) {
         double leastBid = COPY_PRICE * ledger.meanValue(goods) / hold;
--- a/src/main/java/gorserill/cluster/consensus/DiskShelf.java
+++ b/src/main/java/gorserill/cluster/consensus/DiskShelf.java
@@ -20,7 +20,8 @@
     /** @throws IOException with the file's name, where it can't be read or is in use */
     public DiskShelf(Path file) throws IOException {
         try {
-            store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(CACHE).open();
+            store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(CACHE)
+                .open();
             texts = store.openMap("voter");
         } catch (MVStoreException e) {
             throw new IOException(file + ": can't be used as a voter's store: " + e.getMessage(), e);
--- a/src/main/java/gorserill/cluster/consensus/Founding.java
+++ b/src/main/java/gorserill/cluster/consensus/Founding.java
@@ -12,9 +12,10 @@
 
 /**
  * Whether a voter may vote. One with an empty shelf is either new, as all voters of a new cluster are, or has
- * lost what it remembered; only the others can tell. So it is ready once it has heard of all of them that none
- * has voted yet, says so only after its shelf has it, and votes once all are ready. Danger: a voter that came
- * back empty under its old name would vote a second time in a term, and two leaders would own the same work.
+ * lost what it remembered; only the others can tell. So it is ready once it has heard of all of them that
+ * none has voted yet, says so only after its shelf has it, and votes once all are ready. Danger: a voter that
+ * came back empty under its old name would vote a second time in a term, and two leaders would own the same
+ * work.
  */
 final class Founding {
     static final String KEY = "founding";
@@ -39,7 +40,8 @@
      * @param failed is told if the shelf fails
      */
     Founding(String name, Collection<String> voters, long beat, Ground ground, Shelf shelf,
-             BiConsumer<String, JsonNode> send, Runnable founded, java.util.function.Consumer<IOException> failed) {
+             BiConsumer<String, JsonNode> send, Runnable founded,
+             java.util.function.Consumer<IOException> failed) {
         this.name = name;
         this.voters = voters;
         this.beat = beat;
--- a/src/main/java/gorserill/cluster/consensus/RaftCodec.java
+++ b/src/main/java/gorserill/cluster/consensus/RaftCodec.java
@@ -31,8 +31,9 @@
 import java.util.List;
 
 /**
- * Raft's messages and log entries as JSON. An operation is a text, or a change of the group's members. Danger:
- * what comes from outside is checked field by field; a message that lacks one must not reach Raft half-made.
+ * Raft's messages and log entries as JSON. An operation is a text, or a change of the group's members.
+ * Danger: what comes from outside is checked field by field; a message that lacks one must not reach Raft
+ * half-made.
  */
 final class RaftCodec {
     private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
@@ -51,7 +52,8 @@
     // ---- messages ----
 
     ObjectNode write(RaftMessage message) {
-        ObjectNode to = JSON.objectNode().put("from", name(message.getSender())).put("term", message.getTerm());
+        ObjectNode to = JSON.objectNode().put("from", name(message.getSender()))
+            .put("term", message.getTerm());
         if (message instanceof AppendEntriesRequest m) {
             to.put("is", "append").put("previous_term", m.getPreviousLogTerm())
                 .put("previous_index", m.getPreviousLogIndex()).put("commit", m.getCommitIndex())
@@ -65,18 +67,21 @@
             to.put("is", "not_appended").put("next_index", m.getExpectedNextIndex())
                 .put("query", m.getQuerySequenceNumber()).put("flow", m.getFlowControlSequenceNumber());
         } else if (message instanceof InstallSnapshotRequest m) {
-            to.put("is", "snapshot").put("from_leader", m.isSenderLeader()).put("last_term", m.getSnapshotTerm())
+            to.put("is", "snapshot").put("from_leader", m.isSenderLeader())
+                .put("last_term", m.getSnapshotTerm())
                 .put("last_index", m.getSnapshotIndex()).put("chunks", m.getTotalSnapshotChunkCount())
                 .put("query", m.getQuerySequenceNumber()).put("flow", m.getFlowControlSequenceNumber());
             to.set("chunk", m.getSnapshotChunk() == null ? JSON.nullNode() : chunk(m.getSnapshotChunk()));
             to.set("holders", names(m.getSnapshottedMembers()));
-            to.set("members", m.getGroupMembersView() == null ? JSON.nullNode() : view(m.getGroupMembersView()));
+            to.set("members", m.getGroupMembersView() == null ? JSON.nullNode()
+                : view(m.getGroupMembersView()));
         } else if (message instanceof InstallSnapshotResponse m) {
             to.put("is", "snapshot_wanted").put("last_index", m.getSnapshotIndex())
                 .put("chunk", m.getRequestedSnapshotChunkIndex())
                 .put("query", m.getQuerySequenceNumber()).put("flow", m.getFlowControlSequenceNumber());
         } else if (message instanceof PreVoteRequest m) {
-            to.put("is", "pre_vote").put("last_term", m.getLastLogTerm()).put("last_index", m.getLastLogIndex());
+            to.put("is", "pre_vote").put("last_term", m.getLastLogTerm())
+                .put("last_index", m.getLastLogIndex());
         } else if (message instanceof PreVoteResponse m) {
             to.put("is", "pre_voted").put("granted", m.isGranted());
         } else if (message instanceof VoteRequest m) {
@@ -110,7 +115,8 @@
                 .setSender(sender).setTerm(term).setExpectedNextIndex(number(from, "next_index"))
                 .setQuerySequenceNumber(number(from, "query"))
                 .setFlowControlSequenceNumber(number(from, "flow")).build();
-            case "snapshot" -> models.createInstallSnapshotRequestBuilder().setGroupId(group).setSender(sender)
+            case "snapshot" -> models.createInstallSnapshotRequestBuilder().setGroupId(group)
+                .setSender(sender)
                 .setTerm(term).setSenderLeader(from.path("from_leader").asBoolean())
                 .setSnapshotTerm((int) number(from, "last_term")).setSnapshotIndex(number(from, "last_index"))
                 .setTotalSnapshotChunkCount((int) number(from, "chunks"))
@@ -157,7 +163,8 @@
     }
 
     LogEntry entry(JsonNode from) throws BadMessage {
-        return models.createLogEntryBuilder().setIndex(number(from, "index")).setTerm((int) number(from, "term"))
+        return models.createLogEntryBuilder().setIndex(number(from, "index"))
+            .setTerm((int) number(from, "term"))
             .setOperation(operation(from)).build();
     }
 
@@ -167,8 +174,10 @@
             return from.path("op").isTextual() ? from.path("op").textValue() : null;
         }
         try {
-            return models.createUpdateRaftGroupMembersOpBuilder().setMembers(endpoints(change.path("members")))
-                .setVotingMembers(endpoints(change.path("voting"))).setEndpoint(new Endpoint(text(change, "who")))
+            return models.createUpdateRaftGroupMembersOpBuilder()
+                .setMembers(endpoints(change.path("members")))
+                .setVotingMembers(endpoints(change.path("voting")))
+                .setEndpoint(new Endpoint(text(change, "who")))
                 .setMode(MembershipChangeMode.valueOf(text(change, "how"))).build();
         } catch (IllegalArgumentException e) {
             throw new BadMessage("how: " + e.getMessage());
@@ -193,7 +202,8 @@
     SnapshotChunk chunk(JsonNode from) throws BadMessage {
         return models.createSnapshotChunkBuilder().setIndex(number(from, "index"))
             .setTerm((int) number(from, "term")).setOperation(operation(from))
-            .setSnapshotChunkIndex((int) number(from, "chunk")).setSnapshotChunkCount((int) number(from, "chunks"))
+            .setSnapshotChunkIndex((int) number(from, "chunk"))
+            .setSnapshotChunkCount((int) number(from, "chunks"))
             .setGroupMembersView(view(from.path("members"))).build();
     }
 
@@ -206,7 +216,8 @@
 
     RaftGroupMembersView view(JsonNode from) throws BadMessage {
         return models.createRaftGroupMembersViewBuilder().setLogIndex(number(from, "index"))
-            .setMembers(endpoints(from.path("members"))).setVotingMembers(endpoints(from.path("voting"))).build();
+            .setMembers(endpoints(from.path("members"))).setVotingMembers(endpoints(from.path("voting")))
+            .build();
     }
 
     static String name(RaftEndpoint endpoint) {
--- a/src/main/java/gorserill/cluster/consensus/Shelf.java
+++ b/src/main/java/gorserill/cluster/consensus/Shelf.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.util.SortedMap;
 
-/** Where a voter keeps texts by name: what was put before a {@link #flush} that returned outlasts any crash. */
+/**
+ * Where a voter keeps texts by name: what was put before a {@link #flush} that returned outlasts any crash.
+ */
 public interface Shelf {
     void put(String key, String text);
 
@@ -12,6 +14,8 @@
     /** All that is there, by name. */
     SortedMap<String, String> all();
 
-    /** @throws IOException where it is not known what outlasts a crash: then the shelf is to be used no more */
+    /**
+     * @throws IOException where it is not known what outlasts a crash: then the shelf is to be used no more
+     */
     void flush() throws IOException;
 }
--- a/src/main/java/gorserill/cluster/consensus/Voter.java
+++ b/src/main/java/gorserill/cluster/consensus/Voter.java
@@ -31,8 +31,8 @@
 import java.util.function.Consumer;
 
 /**
- * One of the few members that keep the replicated log. All of it runs on the member's thread. What it promises
- * rests on a quorum of voters and their disks alone; times only say when a leader is given up.
+ * One of the few members that keep the replicated log. All of it runs on the member's thread. What it
+ * promises rests on a quorum of voters and their disks alone; times only say when a leader is given up.
  */
 public final class Voter {
     /** Entries in one message: each is below a kilobyte, and a message must fit a datagram. */
@@ -129,13 +129,16 @@
     }
 
     /**
-     * Danger: after votes and signs that crossed, the library's node (0.7) was seen to follow a leader for good
-     * that was long gone. One that does is made anew from its store, as if its process had been restarted.
+     * Danger: after votes and signs that crossed, the library's node (0.7) was seen to follow a leader for
+     * good that was long gone. One that does is made anew from its store, as if its process had been
+     * restarted.
      */
     private void unstick(RaftNodeReport report) {
         long heard = report.getLeaderHeartbeatTimestamp().orElse(0L);
-        boolean follows = report.getRole() == RaftRole.FOLLOWER && report.getTerm().getLeaderEndpoint() != null;
-        if (!follows || heard <= 0 || ground.millis() - heard * beat / SECOND < beat * BEATS_TO_GIVE_UP * STUCK) {
+        boolean follows = report.getRole() == RaftRole.FOLLOWER
+            && report.getTerm().getLeaderEndpoint() != null;
+        if (!follows || heard <= 0 || ground.millis()
+            - heard * beat / SECOND < beat * BEATS_TO_GIVE_UP * STUCK) {
             return;
         }
         try {
@@ -264,7 +267,9 @@
         }
     }
 
-    /** What one life of the library's node stands on; once another has begun, nothing comes of it any more. */
+    /**
+     * What one life of the library's node stands on; once another has begun, nothing comes of it any more.
+     */
     private final class Life implements Transport, RaftNodeExecutor, StateMachine {
         private boolean over() {
             return ended || life != this;
@@ -274,7 +279,8 @@
             if (!over()) {
                 Voter.this.reported(report.getRole() == RaftRole.LEADER,
                     RaftCodec.name(report.getTerm().getLeaderEndpoint()));
-                // Danger: the library's node is in the middle of something, and would go on with it on a new book.
+                // Danger: the library's node is in the middle of something, and would go on with it on a new
+                // book.
                 ground.after(0, () -> {
                     if (!over()) {
                         unstick(report);
--- a/src/main/java/gorserill/cluster/consensus/VoterStore.java
+++ b/src/main/java/gorserill/cluster/consensus/VoterStore.java
@@ -57,7 +57,8 @@
         if (all.containsKey(TERM)) {
             JsonNode kept = read(all, TERM);
             term = codec.models().createRaftTermPersistentStateBuilder().setTerm(kept.path("term").asInt())
-                .setVotedFor(kept.path("voted").isTextual() ? new Endpoint(kept.path("voted").asText()) : null)
+                .setVotedFor(kept.path("voted").isTextual() ? new Endpoint(kept.path("voted").asText())
+                : null)
                 .build();
         }
         SnapshotEntry snapshot = snapshot(all);
--- a/src/main/java/gorserill/cluster/lab/Lab.java
+++ b/src/main/java/gorserill/cluster/lab/Lab.java
@@ -34,10 +34,12 @@
      * @param nodes in all, the first {@code voters} of them voting
      * @param seconds of faults; after that all is whole for {@link #CALM} ms, in which work must go on
      */
-    public record Plan(int nodes, int voters, int seconds, long seed, Set<Fault> faults, Set<Member.Plant> plants) { }
+    public record Plan(int nodes, int voters, int seconds, long seed, Set<Fault> faults,
+        Set<Member.Plant> plants) { }
 
     /** What came of it; {@code violation} is null where nothing was broken. */
-    public record Outcome(String violation, List<String> history, int acts, int unknown, int epochs, int faults,
+    public record Outcome(String violation, List<String> history, int acts, int unknown, int epochs,
+        int faults,
                           long longestGap, long messages, long bytes, long fingerprint) { }
 
     /** Work of the fleet: acts that must never be done twice, and acts that may be, by their key. */
@@ -46,7 +48,8 @@
     private static final long BEAT = 100;
     private static final long LEASE = 1_000;
     private static final double DRIFT = 0.05;
-    private static final List<StandingJob> JOBS = PIECES.stream().map(name -> new StandingJob(name, name, "", 300,
+    private static final List<StandingJob> JOBS = PIECES.stream()
+        .map(name -> new StandingJob(name, name, "", 300,
         null, null, StandingJob.Missed.ALL, 300, name.startsWith("keyed"))).toList();
     private static final int HISTORY = 60;
 
@@ -119,7 +122,8 @@
                 voters.add("n" + i);
             }
             try {
-                member = new Member(new Terms("lab", name, name + "/" + incarnation, incarnation, "1", voters, PIECES, BEAT,
+                member = new Member(new Terms("lab", name, name + "/" + incarnation, incarnation, "1", voters,
+                    PIECES, BEAT,
                     LEASE, DRIFT), this, shelf, random.nextLong(), this, plan.plants);
                 standing.member(member);
                 member.start();
@@ -254,7 +258,8 @@
         if (violation == null) {
             end();
         }
-        return new Outcome(violation, history, runs.size(), unknown.size(), epochOf.size(), faults, longestGap,
+        return new Outcome(violation, history, runs.size(), unknown.size(), epochOf.size(), faults,
+            longestGap,
             messages, bytes, fingerprint);
     }
 
--- a/src/main/java/gorserill/cluster/member/Desk.java
+++ b/src/main/java/gorserill/cluster/member/Desk.java
@@ -14,9 +14,9 @@
 import java.util.function.BiConsumer;
 
 /**
- * Serves the members while this voter leads: puts entries into the log for them, renews leases, ends the lives
- * of those not heard. Danger: a leader that was cut off does not know it; a lease is renewed only after a
- * quorum said that it still leads.
+ * Serves the members while this voter leads: puts entries into the log for them, renews leases, ends the
+ * lives of those not heard. Danger: a leader that was cut off does not know it; a lease is renewed only after
+ * a quorum said that it still leads.
  */
 final class Desk {
     /** Renewals are confirmed together, so many beats apart at the most. */
@@ -98,7 +98,8 @@
     void asked(String from, String process, long id, Entry entry) {
         put(entry, answer -> {
             if (answer != null) {
-                send.accept(from, message("told").put("process", process).put("id", id).put("done", answer.done())
+                send.accept(from, message("told").put("process", process).put("id", id)
+                    .put("done", answer.done())
                     .put("why", answer.why()).put("number", answer.number()));
             }
         });
--- a/src/main/java/gorserill/cluster/member/Member.java
+++ b/src/main/java/gorserill/cluster/member/Member.java
@@ -126,7 +126,8 @@
             if (plants.contains(Plant.FORGOTTEN_VOTES)) {
                 Voter.plantFounded(shelf);
             }
-            voter = new Voter(terms.cluster(), terms.node(), terms.voters(), terms.beat(), seed, ground, shelf,
+            voter = new Voter(terms.cluster(), terms.node(), terms.voters(), terms.beat(), seed, ground,
+                shelf,
                 (to, message) -> send(to, Desk.message("raft").set("raft", message)), register,
                 now -> this.leads(now));
             desk = new Desk(terms, ground, voter, register, this::send);
@@ -177,7 +178,10 @@
         return ground.millis() < leaseUntil || plants.contains(Plant.OWNER_THAT_DOES_NOT_CHECK);
     }
 
-    /** Since when, by the ground's clock, this node has had no word of a leader with a quorum; -1 where it has. */
+    /**
+     * Since when, by the ground's clock, this node has had no word of a leader with a quorum; -1 where it
+     * has.
+     */
     public long aloneSince() {
         return ground.millis() < leaseUntil ? -1 : alone;
     }
@@ -203,7 +207,8 @@
 
     /** Whether this node votes and takes part, or why not; null where it does not vote. */
     public String voting() {
-        return voter == null ? null : voter.broken() != null ? voter.broken() : voter.leading() ? "leads" : "votes";
+        return voter == null ? null : voter.broken() != null ? voter.broken() : voter.leading() ? "leads"
+            : "votes";
     }
 
     /** Messages that were not taken, by reason. */
@@ -227,14 +232,17 @@
         lose();
     }
 
-    /** Wants a piece at a node, or at nobody in particular; the answer comes within so many milliseconds, or null. */
+    /**
+     * Wants a piece at a node, or at nobody in particular; the answer comes within so many milliseconds, or
+     * null.
+     */
     public void transfer(String piece, String to, long wait, Consumer<Register.Answer> then) {
         ask(new Entry.Transfer(piece, to), then, wait);
     }
 
     /**
-     * Claims an act. The answer comes once, within the lease, never from within this call. YES is given only for a claim that the log has
-     * under this node's epoch.
+     * Claims an act. The answer comes once, within the lease, never from within this call. YES is given only
+     * for a claim that the log has under this node's epoch.
      *
      * @param again an act of unknown end is to be done once more, where that does no harm
      */
@@ -246,11 +254,15 @@
             return;
         }
         ask(new Entry.Claim(piece, epoch, act, again), answer -> then.accept(answer == null ? Claimed.UNKNOWN
-            : answer.done() ? Claimed.YES : answer.why().equals(Register.CLAIMED) ? Claimed.NO : Claimed.LATER),
+            : answer.done() ? Claimed.YES : answer.why().equals(Register.CLAIMED) ? Claimed.NO
+            : Claimed.LATER),
             Math.max(terms.beat(), leaseUntil - ground.millis()));
     }
 
-    /** A claimed act has ended; told until the log has it. Danger: acts that stay open use up the piece's room. */
+    /**
+     * A claimed act has ended; told until the log has it. Danger: acts that stay open use up the piece's
+     * room.
+     */
     public void done(String piece, long epoch, long act) {
         ask(new Entry.Done(piece, epoch, act), answer -> {
             if (answer == null && !stopped) {
@@ -334,8 +346,8 @@
     }
 
     /**
-     * Nothing is this node's any more, as far as it knows. Danger: taken up again under the same epoch, a piece
-     * would come with acts that this node has done and forgotten; it must come back under another.
+     * Nothing is this node's any more, as far as it knows. Danger: taken up again under the same epoch, a
+     * piece would come with acts that this node has done and forgotten; it must come back under another.
      */
     private void lose() {
         for (Map.Entry<String, Held> each : List.copyOf(held.entrySet())) {
@@ -361,7 +373,8 @@
         }
         asOf = of;
         if (!inLease()) {
-            // Danger: it ran out and nobody noticed; renewed as if it had not, whoever stopped would stay stopped.
+            // Danger: it ran out and nobody noticed; renewed as if it had not, whoever stopped would stay
+            // stopped.
             lose();
         }
         if (its != life) {
@@ -390,7 +403,8 @@
             String piece = one.path("piece").asText();
             long epoch = one.path("epoch").asLong();
             if (epoch <= letGo.getOrDefault(piece, 0L)) {
-                // Danger: it is another's by now, or the log has not heard that this node let go, or never will.
+                // Danger: it is another's by now, or the log has not heard that this node let go, or never
+                // will.
                 yieldOnce(piece, epoch);
                 continue;
             }
--- a/src/main/java/gorserill/cluster/ownership/Entry.java
+++ b/src/main/java/gorserill/cluster/ownership/Entry.java
@@ -21,7 +21,8 @@
      * @param boot rises from process to process. Danger: a word of one that is gone may come late
      * @param build of the program
      */
-    record Open(String node, String process, long boot, String build, List<String> pieces) implements Entry { }
+    record Open(String node, String process, long boot, String build, List<String> pieces)
+        implements Entry { }
 
     /** A node's life is over: it left, or was not heard for longer than its lease. */
     record Close(String node, long life, String why) implements Entry { }
--- a/src/main/java/gorserill/cluster/ownership/Register.java
+++ b/src/main/java/gorserill/cluster/ownership/Register.java
@@ -26,7 +26,9 @@
  * </ul>
  */
 public final class Register implements Voter.Book {
-    /** Acts of a piece that are claimed and not done, at the most. Danger: unbounded, a stuck owner fills it. */
+    /**
+     * Acts of a piece that are claimed and not done, at the most. Danger: unbounded, a stuck owner fills it.
+     */
     public static final int OPEN_ACTS = 32;
     private static final int PIECES = 1_000;
     private static final int NAMES = 1_000;
--- a/src/main/java/gorserill/cluster/standing/Standing.java
+++ b/src/main/java/gorserill/cluster/standing/Standing.java
@@ -115,8 +115,9 @@
     }
 
     /**
-     * Deals with the times that have come, one after another, and sleeps until the next. Danger: claimed all at
-     * once, a later one could reach the log before an earlier one, which then counts as dealt with and never is.
+     * Deals with the times that have come, one after another, and sleeps until the next. Danger: claimed all
+     * at once, a later one could reach the log before an earlier one, which then counts as dealt with and
+     * never is.
      */
     private void next(Owned its) {
         if (!holds(its) || its.claiming) {
--- a/src/main/java/gorserill/cluster/standing/StandingJob.java
+++ b/src/main/java/gorserill/cluster/standing/StandingJob.java
@@ -29,7 +29,8 @@
         }
         ZonedDateTime here = Instant.ofEpochMilli(now).atZone(zone);
         long day = here.toLocalDate().toEpochDay();
-        // Danger: on the day that clocks are put forward the time may not be there; it then is the next there is.
+        // Danger: on the day that clocks are put forward the time may not be there; it then is the next there
+        // is.
         return time(day) <= now ? day : day - 1;
     }
 
--- a/src/main/java/gorserill/program/ClusterConfig.java
+++ b/src/main/java/gorserill/program/ClusterConfig.java
@@ -31,7 +31,8 @@
     private static final int MOST_JOBS = 64;
 
     /** What the file says, checked; null where there is none or it does not enable the cluster. */
-    static ClusterConfig read(Path file, String node, Map<String, ClassTerms> classes) throws ConfigException {
+    static ClusterConfig read(Path file, String node, Map<String, ClassTerms> classes)
+        throws ConfigException {
         Map<String, String> values = Flattener.enabled(file);
         if (values == null) {
             return null;
@@ -52,13 +53,15 @@
         }
         for (String voter : voters) {
             if (!members.containsKey(voter) && !voter.equals(node)) {
-                throw new ConfigException(file + ": members." + voter, "is missing: its address, as a voter's");
+                throw new ConfigException(file + ": members." + voter,
+                    "is missing: its address, as a voter's");
             }
         }
         long beat = number(file, values, "beat_ms", 200, 20, 10_000);
         long lease = number(file, values, "lease_ms", 3_000, 10 * beat, 600_000);
         if (jobNames.size() > MOST_JOBS) {
-            throw new ConfigException(file + ": standing", jobNames.size() + " jobs, " + MOST_JOBS + " at most");
+            throw new ConfigException(file + ": standing",
+                jobNames.size() + " jobs, " + MOST_JOBS + " at most");
         }
         List<StandingJob> jobs = new ArrayList<>();
         // Danger: flattened, texts lose their commas and spaces; a job's body must come as it was written.
@@ -74,7 +77,8 @@
                     "a job's name is of letters, digits, - and _, 40 at most");
             }
             JsonNode body = tree.path("standing").path(name).path("body");
-            jobs.add(job(file, values, name, body.isContainerNode() ? body.toString() : body.asText(), classes));
+            jobs.add(job(file, values, name, body.isContainerNode() ? body.toString() : body.asText(),
+                classes));
         }
         return new ClusterConfig(text(file, values, "cluster"),
             NodeConfig.address(text(file, values, "listen"), file + ": listen"), members, voters,
@@ -107,7 +111,8 @@
         long every = daily ? 0 : number(file, values, at + "every_ms", 0, 100, 7L * 86_400_000);
         String missed = values.getOrDefault(at + "missed", "last");
         if (!Set.of("skip", "last", "all").contains(missed)) {
-            throw new ConfigException(file + ": " + at + "missed", "must be skip, last or all, not '" + missed + "'");
+            throw new ConfigException(file + ": " + at + "missed",
+                "must be skip, last or all, not '" + missed + "'");
         }
         return new StandingJob(name, jobClass, body, every, time, zone,
             StandingJob.Missed.valueOf(missed.toUpperCase(java.util.Locale.ROOT)),
@@ -146,7 +151,8 @@
         } catch (NumberFormatException e) {
             // Told below, like a number that can't be.
         }
-        throw new ConfigException(file + ": " + key, "'" + text + "' is no whole number from " + least + " to "
+        throw new ConfigException(file + ": " + key,
+            "'" + text + "' is no whole number from " + least + " to "
             + most);
     }
 }
--- a/src/main/java/gorserill/program/ClusterPart.java
+++ b/src/main/java/gorserill/program/ClusterPart.java
@@ -31,9 +31,9 @@
 import java.util.logging.Logger;
 
 /**
- * The node's part in a cluster: its member, on a thread and a socket of its own, and the standing jobs that it
- * fires through the core like any front's. Danger: a voter waits for its disk, which must not hold up jobs; so
- * nothing of it runs on the core's loop.
+ * The node's part in a cluster: its member, on a thread and a socket of its own, and the standing jobs that
+ * it fires through the core like any front's. Danger: a voter waits for its disk, which must not hold up
+ * jobs; so nothing of it runs on the core's loop.
  */
 final class ClusterPart implements Ground {
     private static final Logger LOG = Logger.getLogger(ClusterPart.class.getName());
@@ -71,8 +71,10 @@
         } else {
             shelf = null;
         }
-        Standing standing = new Standing(config.jobs(), this, System::currentTimeMillis, this::run, this::tell);
-        Terms terms = new Terms(config.cluster(), node, UUID.randomUUID().toString(), System.currentTimeMillis(),
+        Standing standing = new Standing(config.jobs(), this, System::currentTimeMillis, this::run,
+            this::tell);
+        Terms terms = new Terms(config.cluster(), node, UUID.randomUUID().toString(),
+            System.currentTimeMillis(),
             build, config.voters(), standing.names(), config.beat(), config.lease(), config.drift());
         try {
             member = new Member(terms, this, shelf, System.nanoTime(), standing, config.plants());
@@ -134,8 +136,8 @@
     }
 
     /**
-     * What staff ask: nothing in particular, or {@code transfer PIECE NODE}, which wants a piece at a node until
-     * {@code transfer PIECE} takes that back. The answer is told on the core's loop, within a second.
+     * What staff ask: nothing in particular, or {@code transfer PIECE NODE}, which wants a piece at a node
+     * until {@code transfer PIECE} takes that back. The answer is told on the core's loop, within a second.
      */
     void call(String about, Consumer<String> to) {
         Consumer<String> back = text -> coreLoop.execute(() -> to.accept(text));
@@ -201,7 +203,8 @@
             boolean keyed = settings.classes().get(index).effect() == Effect.KEYED;
             Work work = new Work(id, index, null, keyed ? key : null, "text/plain",
                 job.body().getBytes(StandardCharsets.UTF_8));
-            core.take(new Answering(back), work, new Ask(coreLoop.now(), settings.classes().get(index).deadline(),
+            core.take(new Answering(back), work, new Ask(coreLoop.now(),
+                settings.classes().get(index).deadline(),
                 false, settings.tenants().isEmpty() ? 0 : -1, 0, 1, 0));
         });
     }
--- a/src/main/java/gorserill/program/ClusterText.java
+++ b/src/main/java/gorserill/program/ClusterText.java
@@ -19,13 +19,16 @@
             text.append("owns ").append(piece).append(" epoch=").append(member.epoch(piece)).append('\n');
         }
         Register register = member.register();
-        // Danger: what a voter has applied may be late; only the leader's is what holds, so each line says whose.
+        // Danger: what a voter has applied may be late; only the leader's is what holds, so each line says
+        // whose.
         String of = "leads".equals(member.voting()) ? "" : " as_of=" + node;
-        register.nodes().forEach((name, one) -> text.append("member ").append(name).append(" life=").append(one.life)
+        register.nodes().forEach((name, one) -> text.append("member ").append(name).append(" life=")
+            .append(one.life)
             .append(" build=").append(one.build).append(one.leaves ? " leaves" : "").append(of).append('\n'));
         register.pieces().forEach((name, piece) -> text.append("piece ").append(name).append(" owner=")
             .append(piece.owner.isEmpty() ? "nobody" : piece.owner).append(" epoch=").append(piece.epoch)
-            .append(" last=").append(piece.last).append(" open=").append(piece.open.size()).append(" unknown=")
+            .append(" last=").append(piece.last).append(" open=").append(piece.open.size())
+            .append(" unknown=")
             .append(piece.unknown.size()).append(of).append('\n'));
         member.dropped().forEach((why, count) -> text.append("dropped ").append(count).append(' ')
             .append(why.lines().findFirst().orElse("")).append('\n'));
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -123,7 +123,8 @@
         unused = parser.unused();
         faktory = FaktoryConfig.read(Path.of(environment.getOrDefault("GORSERILL_FAKTORY",
             "deploy/faktory.json")), classNames, classTerms(), jobRules());
-        cluster = ClusterConfig.read(Path.of(environment.getOrDefault("GORSERILL_CLUSTER", "deploy/cluster.json")),
+        cluster = ClusterConfig.read(Path.of(environment.getOrDefault("GORSERILL_CLUSTER",
+            "deploy/cluster.json")),
             name, classTerms());
         String openApi = environment.get("GORSERILL_OPENAPI");
         contract = openApi == null ? null : Descriptions.read("GORSERILL_OPENAPI", Path.of(openApi),
--- a/src/main/java/gorserill/program/command/DrillCommand.java
+++ b/src/main/java/gorserill/program/command/DrillCommand.java
@@ -17,7 +17,10 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** Drills of several processes on this machine. Exit status: 0 nothing violated, 1 violated, 2 wrong arguments. */
+/**
+ * Drills of several processes on this machine. Exit status: 0 nothing violated, 1 violated, 2 wrong
+ * arguments.
+ */
 @Command(name = "drill", mixinStandardHelpOptions = true,
     description = "Starts several nodes on this machine, puts faults between them, and checks the rules.")
 final class DrillCommand implements Callable<Integer> {
@@ -36,7 +39,8 @@
     @Option(names = "--seconds", defaultValue = "60", description = "how long, 10 to 3600; 60 if not said")
     private int seconds;
 
-    @Option(names = "--seed", defaultValue = "1", description = "of the faults and their times; 1 if not said")
+    @Option(names = "--seed", defaultValue = "1", description =
+        "of the faults and their times; 1 if not said")
     private long seed;
 
     @Option(names = "--faults", split = ",", description = "some of loss, delay, twice, cut, one-way, flap, "
@@ -47,7 +51,8 @@
         + "drill must find: lease-without-margin, claim-skipped, owner-that-does-not-check, epoch-not-kept")
     private String plant;
 
-    @Option(names = "--report", description = "a folder for the report and the nodes' files; a new one if not said")
+    @Option(names = "--report",
+        description = "a folder for the report and the nodes' files; a new one if not said")
     private Path report;
 
     @Override
--- a/src/main/java/gorserill/program/drill/Audit.java
+++ b/src/main/java/gorserill/program/drill/Audit.java
@@ -119,7 +119,8 @@
                 violated(job, job + " was never fired");
                 continue;
             }
-            for (long number = claimed.firstKey(); number * every < until && job.startsWith("keyed"); number++) {
+            for (long number = claimed.firstKey(); number * every < until
+                && job.startsWith("keyed"); number++) {
                 if (!runs.containsKey(job + " time " + number * every)) {
                     violated(job, job + " time " + number + " (" + number * every + ") was never run, though "
                         + "missed times are to be made up for");
@@ -147,7 +148,8 @@
 
     /** What led to the violation: everything about its subject, and the faults. */
     synchronized List<Event> history() {
-        return events.stream().filter(e -> about == null || e.where().equals(about) || e.what().contains(about)
+        return events.stream().filter(e -> about == null || e.where().equals(about)
+            || e.what().contains(about)
             || e.what().startsWith("fault")).toList();
     }
 
@@ -157,7 +159,8 @@
 
     synchronized String counts() {
         return "jobs " + jobs + ", answers " + answers + ", acts " + runs.size() + ", owners " + epochs.size()
-            + ", may have run " + unknown + ", faults " + faults + ", longest time between acts " + longestGap()
+            + ", may have run " + unknown + ", faults " + faults + ", longest time between acts "
+            + longestGap()
             + " ms";
     }
 }
--- a/src/main/java/gorserill/program/drill/Drill.java
+++ b/src/main/java/gorserill/program/drill/Drill.java
@@ -86,7 +86,8 @@
             ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java")
                 .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx40m", "-cp",
                 System.getProperty("java.class.path"), "gorserill.program.Main", "serve");
-            builder.environment().putAll(java.util.Map.of("NODE_CONFIG", folder.resolve("node.json").toString(),
+            builder.environment().putAll(java.util.Map.of("NODE_CONFIG",
+                folder.resolve("node.json").toString(),
                 "GORSERILL_CLUSTER", folder.resolve("cluster.json").toString(), "GORSERILL_FAKTORY", "none",
                 "TMPDIR", folder.toString()));
             process = builder.redirectErrorStream(true).start();
@@ -162,7 +163,8 @@
             for (int i = 0; i < plan.nodes; i++) {
                 nodes.add(new Node(i));
             }
-            links = new Links(nodes.stream().map(n -> new InetSocketAddress(InetAddress.getLoopbackAddress(), n.wire))
+            links = new Links(nodes.stream().map(n ->
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), n.wire))
                 .toList(), plan.seed);
             for (Node node : nodes) {
                 write(node, discovery, workers);
@@ -188,7 +190,8 @@
         return tell();
     }
 
-    private void write(Node node, StandInDiscovery discovery, List<StandInWorker> workers) throws IOException {
+    private void write(Node node, StandInDiscovery discovery, List<StandInWorker> workers)
+        throws IOException {
         try (InputStream text = Drill.class.getResourceAsStream("/gorserill/program/demo.json")) {
             Files.writeString(node.folder.resolve("node.json"), new String(text.readAllBytes(),
                 StandardCharsets.UTF_8).replace("\"demo\"", "\"" + node.name + "\"")
@@ -212,7 +215,8 @@
         StringBuilder jobs = new StringBuilder();
         for (String job : JOBS) {
             jobs.append(jobs.length() > 0 ? ", " : "").append('"').append(job).append("\": {\"class\": \"")
-                .append(job.startsWith("once") ? "alerta" : "cierre").append("\", \"every_ms\": ").append(EVERY)
+                .append(job.startsWith("once") ? "alerta" : "cierre").append("\", \"every_ms\": ")
+                .append(EVERY)
                 .append(", \"missed\": \"all\", \"body\": \"").append(job).append("\"}");
         }
         Files.writeString(node.folder.resolve("cluster.json"), """
@@ -289,13 +293,15 @@
             try {
                 http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.clients + "/estado"))
                     .header("X-Txn", node.name + "-" + i + "-" + asked).timeout(Duration.ofSeconds(6))
-                    .POST(HttpRequest.BodyPublishers.ofString("x")).build(), HttpResponse.BodyHandlers.ofString());
+                    .POST(HttpRequest.BodyPublishers.ofString("x")).build(),
+                    HttpResponse.BodyHandlers.ofString());
                 audit.answered();
                 Thread.sleep(40);
             } catch (IOException e) {
                 if (asked > node.troubledUntil && System.currentTimeMillis() > node.troubledUntil && !over
                     && node.process.isAlive()) {
-                    audit.violated(node.name, "a client of " + node.name + ", which lived and was left alone, got "
+                    audit.violated(node.name, "a client of " + node.name
+                        + ", which lived and was left alone, got "
                         + "no answer: " + e);
                 }
                 pause();
@@ -320,7 +326,8 @@
         Fault fault = kinds.get(random.nextInt(kinds.size()));
         Node node = nodes.get(random.nextInt(nodes.size()));
         long length = Math.min(left, 200 + random.nextInt(random.nextInt(6) == 0 ? 8_000 : 2_500));
-        audit.fault(fault.name().toLowerCase(java.util.Locale.ROOT), node.name, fault + " for " + length + " ms");
+        audit.fault(fault.name().toLowerCase(java.util.Locale.ROOT), node.name,
+            fault + " for " + length + " ms");
         long until = System.currentTimeMillis() + length;
         switch (fault) {
             case LOSS -> links(node, way -> way.loss = 0.3, way -> way.loss = 0, length);
@@ -436,7 +443,8 @@
             long until = System.currentTimeMillis() + START;
             while (!over && !answers(node)) {
                 if (System.currentTimeMillis() > until) {
-                    audit.violated(node.name, node.name + " did not serve within " + START + " ms of its start");
+                    audit.violated(node.name, node.name + " did not serve within " + START
+                        + " ms of its start");
                     return;
                 }
                 Thread.sleep(50);
--- a/src/main/java/gorserill/program/drill/Links.java
+++ b/src/main/java/gorserill/program/drill/Links.java
@@ -14,7 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** The ways between the nodes: one relay for each of them and each direction, which does harm as it is told. */
+/**
+ * The ways between the nodes: one relay for each of them and each direction, which does harm as it is told.
+ */
 final class Links implements Closeable {
     private static final int LONGEST = 65_000;
 
--- a/src/main/java/gorserill/program/drill/Report.java
+++ b/src/main/java/gorserill/program/drill/Report.java
@@ -20,14 +20,18 @@
     static void write(Drill.Plan plan, Audit audit, Links links) throws IOException {
         List<Audit.Event> events = audit.events();
         long length = Math.max(1, audit.now());
-        StringBuilder page = new StringBuilder("<!doctype html><meta charset=utf-8><title>drill</title><style>")
+        StringBuilder page =
+            new StringBuilder("<!doctype html><meta charset=utf-8><title>drill</title><style>")
             .append("body{font:14px sans-serif;margin:2em}td{padding:0 1em 0 0;white-space:nowrap}</style>")
-            .append("<h1>drill ").append(plan.piece()).append(", seed ").append(plan.seed()).append("</h1><p>")
-            .append(escape(audit.violation() == null ? "Nothing was violated." : "VIOLATED: " + audit.violation()))
+            .append("<h1>drill ").append(plan.piece()).append(", seed ").append(plan.seed())
+            .append("</h1><p>")
+            .append(escape(audit.violation() == null ? "Nothing was violated."
+            : "VIOLATED: " + audit.violation()))
             .append("<p>").append(escape(audit.counts())).append("; ").append(links.bytes.get())
             .append(" bytes in ").append(links.passed.get()).append(" messages.<p>")
             .append("Bars: who owned which job, a colour each. Red marks: faults.");
-        page.append("<svg width=").append(WIDTH + 60).append(" height=").append((plan.nodes() + 1) * ROW).append('>');
+        page.append("<svg width=").append(WIDTH + 60).append(" height=").append((plan.nodes() + 1) * ROW)
+            .append('>');
         for (int n = 0; n < plan.nodes(); n++) {
             page.append("<text x=0 y=").append(n * ROW + 14).append(">n").append(n).append("</text>");
         }
@@ -61,7 +65,8 @@
         page.append("</svg><table>");
         List<Audit.Event> told = audit.violation() == null ? events : audit.history();
         told.stream().skip(Math.max(0, told.size() - MOST_LINES)).forEach(e -> page.append("<tr><td>")
-            .append(e.at()).append(" ms<td>").append(escape(e.where())).append("<td>").append(escape(e.what())));
+            .append(e.at()).append(" ms<td>").append(escape(e.where())).append("<td>")
+            .append(escape(e.what())));
         Files.writeString(plan.report().resolve("report.html"), page.append("</table>").toString(),
             StandardCharsets.UTF_8);
     }
--- a/src/test/java/barrowflow/FleetModel.java
+++ b/src/test/java/barrowflow/FleetModel.java
@@ -94,7 +94,8 @@
         public void cancel(long request, int attempt) {
             Run run = runs.get(request + "/" + attempt);
             run.calledOff = true;
-            at(now, () -> module.ended(now, request, attempt, Outcome.CANCELLED, false, Double.NaN, Double.NaN));
+            at(now, () -> module.ended(now, request, attempt, Outcome.CANCELLED, false, Double.NaN,
+                Double.NaN));
             if (cancelStops) {
                 at(now + WAY, () -> stop(run));
             }
@@ -200,7 +201,8 @@
 
     /** Machines by turns begin nothing for so long, one after another. */
     void hangs(long each, long span) {
-        List<Machine> all = machines.values().stream().sorted((a, b) -> Long.compare(a.worker.id(), b.worker.id()))
+        List<Machine> all = machines.values().stream()
+            .sorted((a, b) -> Long.compare(a.worker.id(), b.worker.id()))
             .toList();
         for (long t = 0; t < span; t += each) {
             Machine m = all.get(random.nextInt(all.size()));
@@ -247,7 +249,8 @@
             run.startedAt = now;
             double cores = m.slots * warmth(m.worker, now, settings);
             long takes = (long) (run.work / m.speed / Math.min(1, cores / m.running));
-            at(now + WAY, () -> unlessCalledOff(run, () -> run.node.module.started(now, run.request, run.attempt)));
+            at(now + WAY, () -> unlessCalledOff(run,
+                () -> run.node.module.started(now, run.request, run.attempt)));
             at(now + takes, () -> {
                 if (run.stopped) {
                     return;
--- a/src/test/java/barrowflow/FleetTest.java
+++ b/src/test/java/barrowflow/FleetTest.java
@@ -110,7 +110,10 @@
             + 4 * offered);
     }
 
-    /** Half a minute of a fleet of which a machine hangs at all times; gives the parts in time and run in vain. */
+    /**
+     * Half a minute of a fleet of which a machine hangs at all times; gives the parts in time and run in
+     * vain.
+     */
     private static double[] hanging(long seed, boolean copies, int stopsFrom, int stopsTo) {
         JobClass job = new JobClass(100_000, 2, 5_000_000, 1, 0, Dispatcher.Effect.SAFE, Dispatcher.Group.ALL,
             0, -1);
@@ -118,7 +121,8 @@
         for (long id = 1; id <= 13; id++) {
             fleet.machine(FakeHost.worker(id), 4, id % 2 == 0 ? 0.8 : 1);
         }
-        fleet.nodes(3, new Settings(3, 0, List.of(job), List.of(), 1, new Cold(0.15, 24_000_000, 2.5, 3_000_000),
+        fleet.nodes(3, new Settings(3, 0, List.of(job), List.of(), 1,
+            new Cold(0.15, 24_000_000, 2.5, 3_000_000),
             4, true, 2_000_000, false, true, 0, copies));
         fleet.traffic(0, 13 * 4 * 0.5 / 0.4, 400_000, 30_000_000);
         fleet.hangs(700_000, 30_000_000);
@@ -144,7 +148,8 @@
                 gain += (with[0] - hanging(seed, false, stops[0], stops[1])[0]) / 4;
                 wasted += with[1] / 4;
             }
-            String seen = "halves " + stops[0] + " to " + stops[1] + " stop: gain " + gain + ", wasted " + wasted;
+            String seen = "halves " + stops[0] + " to " + stops[1] + " stop: gain " + gain + ", wasted "
+                + wasted;
             assertTrue(gain > 0.0125, seen);
             assertTrue(gain - 0.25 * wasted > -0.01, seen);
         }
--- a/src/test/java/barrowflow/MarketTest.java
+++ b/src/test/java/barrowflow/MarketTest.java
@@ -43,10 +43,12 @@
     @Test
     void aCopyIsMadeOnlyWhereOthersWaitsSayThatItSavesTheJob() {
         for (int waits = 0; waits <= 1; waits++) {
-            FakeHost host = taught(new FakeHost(copying(FakeHost.SAFE), 5).withWorkers(4), waits == 1 ? 5 : 0);
+            FakeHost host = taught(new FakeHost(copying(FakeHost.SAFE), 5).withWorkers(4), waits == 1 ? 5
+                : 0);
             host.request(1, 0);
             host.pass(5 * FakeHost.PERIOD);
-            assertEquals(2 - waits, host.sends(1), waits == 1 ? "others began soon" : "none was seen to wait");
+            assertEquals(2 - waits, host.sends(1), waits == 1 ? "others began soon"
+                : "none was seen to wait");
         }
     }
 
--- a/src/test/java/barrowflow/WaitsTest.java
+++ b/src/test/java/barrowflow/WaitsTest.java
@@ -23,6 +23,7 @@
         for (double part : new double[] {0.1, 0.3 * seenFor, 0.45 * seenFor}) {
             assertEquals(Math.exp(-part), waits.late(0, part * mean), 0.13, "mean " + mean + " part " + part);
         }
-        assertTrue(waits.late(0.2 * mean, 0.4 * mean) >= waits.late(0, 0.4 * mean), "time that has passed counts");
+        assertTrue(waits.late(0.2 * mean, 0.4 * mean) >= waits.late(0, 0.4 * mean),
+            "time that has passed counts");
     }
 }
--- a/src/test/java/gorserill/cluster/BadInputTest.java
+++ b/src/test/java/gorserill/cluster/BadInputTest.java
@@ -24,7 +24,9 @@
 import java.util.TreeMap;
 import org.testng.annotations.Test;
 
-/** What comes from the wire or the disk and can't be worked with: nothing breaks, nothing grows, it is told. */
+/**
+ * What comes from the wire or the disk and can't be worked with: nothing breaks, nothing grows, it is told.
+ */
 public class BadInputTest {
     /** A voter alone; what it sends is kept. */
     private static final class Alone implements Ground, Shelf, Duty {
@@ -34,7 +36,8 @@
         long now = 1_000;
 
         Member member() throws BadMessage {
-            Member member = new Member(new Terms("c", "n0", "p", 1, "1", List.of("n0", "n1", "n2"), List.of("x"), 100,
+            Member member = new Member(new Terms("c", "n0", "p", 1, "1", List.of("n0", "n1", "n2"),
+                List.of("x"), 100,
                 1_000, 0.05), this, this, 1, this, Set.of());
             member.start();
             return member;
@@ -90,8 +93,10 @@
         SplittableRandom random = new SplittableRandom(3);
         List<String> real = new ArrayList<>();
         alone.sent.forEach(bytes -> real.add(new String(bytes, StandardCharsets.UTF_8)));
-        real.add("{\"kind\":\"raft\",\"raft\":{\"from\":\"n1\",\"term\":1,\"is\":\"append\"},\"cluster\":\"c\",\"from\":\"n1\"}");
-        real.add("{\"kind\":\"view\",\"at\":1,\"as_of\":9,\"life\":3,\"pieces\":[{}],\"cluster\":\"c\",\"from\":\"n1\"}");
+        real.add("{\"kind\":\"raft\",\"raft\":{\"from\":\"n1\",\"term\":1,\"is\":\"append\"},"
+            + "\"cluster\":\"c\",\"from\":\"n1\"}");
+        real.add("{\"kind\":\"view\",\"at\":1,\"as_of\":9,\"life\":3,\"pieces\":[{}],"
+            + "\"cluster\":\"c\",\"from\":\"n1\"}");
         real.add("{\"kind\":\"ask\",\"id\":1,\"entry\":\"{}\",\"cluster\":\"c\",\"from\":\"n1\"}");
         for (int i = 0; i < 20_000; i++) {
             byte[] bytes = real.get(random.nextInt(real.size())).getBytes(StandardCharsets.UTF_8);
@@ -100,10 +105,12 @@
             }
             member.heard(java.util.Arrays.copyOf(bytes, random.nextInt(bytes.length + 1)));
         }
-        assertTrue(member.dropped().values().stream().mapToInt(n -> n).sum() > 10_000, "" + member.dropped().size());
+        assertTrue(member.dropped().values().stream().mapToInt(n -> n).sum() > 10_000,
+            "" + member.dropped().size());
         assertTrue(member.dropped().size() <= 65, "reasons are bounded: " + member.dropped().size());
         assertEquals(member.owned(), List.of());
-        member.heard("{\"kind\":\"view\",\"cluster\":\"other\",\"from\":\"n1\"}".getBytes(StandardCharsets.UTF_8));
+        member.heard("{\"kind\":\"view\",\"cluster\":\"other\",\"from\":\"n1\"}"
+            .getBytes(StandardCharsets.UTF_8));
         assertTrue(member.dropped().get("another cluster's") > 0);
     }
 
--- a/src/test/java/gorserill/cluster/LabTest.java
+++ b/src/test/java/gorserill/cluster/LabTest.java
@@ -23,13 +23,16 @@
 
     private static List<Outcome> runs(int nodes, long seeds, Set<Fault> faults, Set<Plant> plants) {
         return LongStream.range(0, seeds).parallel()
-            .mapToObj(seed -> Lab.run(new Plan(nodes, Math.min(3, nodes), 30, seed, faults, plants))).toList();
+            .mapToObj(seed -> Lab.run(new Plan(nodes, Math.min(3, nodes), 30, seed, faults, plants)))
+            .toList();
     }
 
     @DataProvider
     public Object[][] clusters() {
-        return new Object[][] {{3, 400, ALL}, {5, 60, ALL}, {9, 20, ALL}, {1, 20, EnumSet.of(Fault.CRASH, Fault.STALL)},
-            {3, 60, EnumSet.of(Fault.FORGET, Fault.CUT, Fault.CRASH)}, {3, 60, EnumSet.of(Fault.STALL, Fault.DRIFT)}};
+        return new Object[][] {{3, 400, ALL}, {5, 60, ALL}, {9, 20, ALL},
+            {1, 20, EnumSet.of(Fault.CRASH, Fault.STALL)},
+            {3, 60, EnumSet.of(Fault.FORGET, Fault.CUT, Fault.CRASH)},
+            {3, 60, EnumSet.of(Fault.STALL, Fault.DRIFT)}};
     }
 
     @Test(dataProvider = "clusters")
--- a/src/test/java/gorserill/cluster/RegisterProperties.java
+++ b/src/test/java/gorserill/cluster/RegisterProperties.java
@@ -32,7 +32,8 @@
         return switch (random.nextInt(10)) {
             case 0, 1 -> {
                 int process = random.nextInt(6);
-                yield new Entry.Open(node, node + "/" + process, process, "1", PIECES.subList(0, 1 + random.nextInt(3)));
+                yield new Entry.Open(node, node + "/" + process, process, "1",
+                    PIECES.subList(0, 1 + random.nextInt(3)));
             }
             case 2 -> new Entry.Close(node, life, "left");
             case 3 -> new Entry.Leave(node, life, random.nextBoolean());
@@ -53,7 +54,8 @@
         Set<String> claimed = new HashSet<>();
         for (int i = 1; i <= 300; i++) {
             Entry entry = any(random, register);
-            Set<Long> unknown = entry instanceof Entry.Claim claim && register.pieces().containsKey(claim.piece())
+            Set<Long> unknown = entry instanceof Entry.Claim claim
+                && register.pieces().containsKey(claim.piece())
                 ? new HashSet<>(register.pieces().get(claim.piece()).unknown) : Set.of();
             Answer answer = (Answer) register.apply(i, Register.text(entry));
             assertEquals(answer, copy.apply(i, Register.text(entry)), "the same entry, the same answer");
@@ -83,7 +85,8 @@
                     assertTrue(register.heir(name) == null, "nobody owns " + name + " though one could");
                 }
                 epochs.put(name, piece.epoch);
-                assertTrue(piece.open.size() <= Register.OPEN_ACTS && piece.open.keySet().containsAll(piece.unknown));
+                assertTrue(piece.open.size() <= Register.OPEN_ACTS
+                    && piece.open.keySet().containsAll(piece.unknown));
             });
         }
     }
--- a/src/test/java/gorserill/routing/ImportsTest.java
+++ b/src/test/java/gorserill/routing/ImportsTest.java
@@ -71,7 +71,10 @@
         assertEquals(found, List.of());
     }
 
-    /** The cluster's decisions are free of I/O and clock; only its disk shelf opens a file, and nothing a socket. */
+    /**
+     * The cluster's decisions are free of I/O and clock; only its disk shelf opens a file, and nothing a
+     * socket.
+     */
     @Test
     public void theClusterStandsOnItsGroundAlone() throws IOException {
         List<String> found = new ArrayList<>(naming("cluster", "grizzly", "java.net", "gorserill.protocol",
