--- /dev/null
+++ b/src/main/java/gorserill/cluster/address/Address.java
@@ -0,0 +1,140 @@
+package gorserill.cluster.address;
+
+import gorserill.cluster.Ground;
+import gorserill.cluster.address.Announcer.Told;
+import gorserill.cluster.member.Duty;
+import gorserill.cluster.member.Member;
+import gorserill.cluster.member.Member.Claimed;
+import java.util.SortedSet;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * Announces this node as the way in while it owns the address. What stood there before stays until the next
+ * owner puts its own in its place, so by a planned end there is no time without one. Danger: an owner that
+ * was stalled on its way to the registry wakes up late; a registry that looks at epochs turns it away, at any
+ * other the owner's next announcement, which comes each {@code refresh}, puts that right.
+ */
+public final class Address implements Duty {
+    private static final long AGAIN = 50;
+
+    private final String value;
+    private final long refresh;
+    private final Ground ground;
+    private final Announcer announcer;
+    private final BiConsumer<Long, String> teller;
+    private Member member;
+    private String piece;
+    /** The epoch that is gone by; 0 where the address is not this node's. */
+    private long epoch;
+    private boolean busy;
+    private Runnable whenIdle;
+
+    /**
+     * @param value this node's own address, for clients
+     * @param refresh milliseconds between announcements
+     * @param teller hears the epoch and what was done, for the log
+     */
+    public Address(String value, long refresh, Ground ground, Announcer announcer,
+                   BiConsumer<Long, String> teller) {
+        this.value = value;
+        this.refresh = refresh;
+        this.ground = ground;
+        this.announcer = announcer;
+        this.teller = teller;
+    }
+
+    /** The member that claims; to be told before it starts. */
+    public void member(Member its) {
+        member = its;
+    }
+
+    /** Tells whether clients are sent elsewhere, as far as is known. */
+    public void elsewhere(Consumer<Boolean> then) {
+        if (piece == null) {
+            then.accept(true);
+        } else {
+            announcer.look(at -> then.accept(at != null && !at.equals(value)));
+        }
+    }
+
+    @Override
+    public void owns(String its, long under, long last, SortedSet<Long> unknown) {
+        piece = its;
+        epoch = under;
+        whenIdle = null;
+        busy = false;
+        teller.accept(under, "owned from here on");
+        // What an owner before may have announced is gone by what this one does.
+        unknown.forEach(act -> member.done(its, under, act));
+        claim(under, last + 1);
+    }
+
+    private boolean holds(long under) {
+        return epoch == under && whenIdle == null && member.epoch(piece) == under;
+    }
+
+    private void claim(long under, long act) {
+        if (!holds(under)) {
+            return;
+        }
+        member.claim(piece, act, false, answer -> {
+            if (answer == Claimed.YES) {
+                announce(under, act);
+            } else {
+                // Danger: a number that an owner before has used is no reason to leave the address
+                // unannounced.
+                ground.after(AGAIN, () -> claim(under, answer == Claimed.NO ? act + 1 : act));
+            }
+        });
+    }
+
+    /** @param act that is claimed and to be closed; 0 where it was before */
+    private void announce(long under, long act) {
+        if (!holds(under)) {
+            closed(under, act);
+            return;
+        }
+        busy = true;
+        announcer.announce(value, under, told -> {
+            if (epoch == under) {
+                busy = false;
+            }
+            if (act > 0 || told == Told.TOO_LATE) {
+                teller.accept(under, told == Told.DONE ? "announced " + value : "not announced: " + told);
+            }
+            if (told == Told.DONE) {
+                closed(under, act);
+            }
+            if (epoch == under && whenIdle != null) {
+                whenIdle.run();
+            } else if (told != Told.TOO_LATE) {
+                ground.after(told == Told.DONE ? refresh : AGAIN,
+                    () -> announce(under, told == Told.DONE ? 0 : act));
+            }
+        });
+    }
+
+    private void closed(long under, long act) {
+        if (act > 0) {
+            member.done(piece, under, act);
+        }
+    }
+
+    @Override
+    public void handOver(String its, long under, Runnable then) {
+        if (epoch == under && busy) {
+            whenIdle = then;
+        } else {
+            then.run();
+        }
+    }
+
+    @Override
+    public void lost(String its, long under) {
+        if (epoch == under) {
+            epoch = 0;
+            teller.accept(under, "owned no more");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorserill/cluster/address/Announcer.java
@@ -0,0 +1,25 @@
+package gorserill.cluster.address;
+
+import java.util.function.Consumer;
+
+/** Where an address is announced; whoever sends clients on looks there. */
+public interface Announcer {
+    /** What became of it. */
+    enum Told {
+        DONE,
+        /** A newer owner has announced: this one is not to try again. */
+        TOO_LATE,
+        UNKNOWN
+    }
+
+    /**
+     * Puts an address in the place of what stands there.
+     *
+     * @param epoch rises from owner to owner; a registry that looks at it refuses lower ones than it has
+     * @param then is told on the member's thread, once
+     */
+    void announce(String value, long epoch, Consumer<Told> then);
+
+    /** Tells, on the member's thread, once, what is announced at present; null where that is not known. */
+    void look(Consumer<String> then);
+}
--- a/src/main/java/gorserill/cluster/consensus/DiskShelf.java
+++ b/src/main/java/gorserill/cluster/consensus/DiskShelf.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -13,12 +14,21 @@
 public final class DiskShelf implements Shelf, Closeable {
     /** Megabytes; a voter keeps a short log, and the node has a small heap. */
     private static final int CACHE = 1;
+    /** Milliseconds in which a file that is too long is made shorter. */
+    private static final int COMPACTING = 200;
 
+    private final Path file;
+    private final long most;
     private final MVStore store;
     private final MVMap<String, String> texts;
 
-    /** @throws IOException with the file's name, where it can't be read or is in use */
-    public DiskShelf(Path file) throws IOException {
+    /**
+     * @param most bytes that the file may take. Danger: unbounded, it would take the disk from all else
+     * @throws IOException with the file's name, where it can't be read or is in use
+     */
+    public DiskShelf(Path file, long most) throws IOException {
+        this.file = file;
+        this.most = most;
         try {
             store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(CACHE)
                 .open();
@@ -46,6 +56,12 @@
     @Override
     public void flush() throws IOException {
         try {
+            if (Files.size(file) > most) {
+                store.compactFile(COMPACTING);
+                if (Files.size(file) > most) {
+                    throw new IOException(file + " is over store_kb: " + Files.size(file) + " bytes");
+                }
+            }
             store.commit();
             store.sync();
         } catch (MVStoreException e) {
--- a/src/main/java/gorserill/cluster/consensus/Founding.java
+++ b/src/main/java/gorserill/cluster/consensus/Founding.java
@@ -63,10 +63,16 @@
         return stage == Stage.FOUNDED;
     }
 
+    /** It was given a place, or lost it: it knows that the cluster was founded. */
+    void seated() {
+        stage = Stage.FOUNDED;
+        forgot = false;
+    }
+
     void start() {
         if (done()) {
             founded.run();
-        } else {
+        } else if (voters.contains(name)) {
             ask();
         }
     }
@@ -89,7 +95,7 @@
     }
 
     void heard(String from, JsonNode message) {
-        if (!voters.contains(from) || from.equals(name)) {
+        if (!voters.contains(from) || !voters.contains(name) || from.equals(name)) {
             return;
         }
         Stage its = switch (message.path("stage").asText()) {
--- a/src/main/java/gorserill/cluster/consensus/Voter.java
+++ b/src/main/java/gorserill/cluster/consensus/Voter.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import gorserill.cluster.BadMessage;
 import gorserill.cluster.Ground;
+import io.microraft.MembershipChangeMode;
 import io.microraft.QueryPolicy;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
@@ -12,6 +13,7 @@
 import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftGroupMembers;
 import io.microraft.report.RaftNodeReport;
 import io.microraft.statemachine.StateMachine;
 import io.microraft.transport.Transport;
@@ -23,8 +25,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -70,6 +76,12 @@
     private final Collection<String> voters;
     private final Random random;
     private final Founding founding;
+    private final Shelf shelf;
+    /** The name that it votes under; empty where it has no place among the voters. */
+    private String voter;
+    private Collection<String> first;
+    private long since;
+    private boolean changing;
     private RaftNode raft;
     private Life life;
     private String leader;
@@ -97,17 +109,33 @@
         this.group = group;
         this.name = name;
         this.voters = voters;
+        this.shelf = shelf;
         random = new Random(seed);
         codec = new RaftCodec(group);
         store = new VoterStore(shelf, codec, this::storeFailed);
+        Seat seat = Seat.kept(shelf);
+        voter = seat != null ? seat.voter() : voters.contains(name) ? name : "";
+        first = seat != null ? seat.first() : voters;
+        since = seat != null ? seat.since() : 0;
         build();
         founding = new Founding(name, voters, beat, ground, shelf,
             (to, message) -> this.send(to, JsonNodeFactory.instance.objectNode().set("founding", message)),
-            () -> raft.start(), this::storeFailed);
+            this::takePart, this::storeFailed);
+    }
+
+    private void takePart() {
+        if (raft != null) {
+            raft.start();
+        }
     }
 
     /** The library's node, as what the store holds makes it. */
     private void build() throws BadMessage {
+        life = null;
+        raft = null;
+        if (voter.isEmpty()) {
+            return;
+        }
         RestoredRaftState restored = store.restored();
         RaftConfig config = RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(SECOND)
             .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(BEATS_TO_GIVE_UP)
@@ -120,8 +148,8 @@
             .setClock(new GroundClock()).setRaftNodeReportListener(life::reported);
         if (restored == null) {
             List<RaftEndpoint> members = new ArrayList<>();
-            voters.forEach(voter -> members.add(new Endpoint(voter)));
-            builder.setLocalEndpoint(new Endpoint(name)).setInitialGroupMembers(members);
+            first.forEach(one -> members.add(new Endpoint(one)));
+            builder.setLocalEndpoint(new Endpoint(voter)).setInitialGroupMembers(members);
         } else {
             builder.setRestoredState(restored);
         }
@@ -141,17 +169,148 @@
             - heard * beat / SECOND < beat * BEATS_TO_GIVE_UP * STUCK) {
             return;
         }
+        anew();
+    }
+
+    private void anew() {
         try {
             reported(false, null);
             applied = 0;
             book.restore(null);
             build();
-            raft.start();
+            takePart();
         } catch (BadMessage e) {
             storeFailed(new IOException(e.getMessage()));
         }
     }
 
+    // ---- who votes ----
+
+    /**
+     * The voters and those that are to become voters, by the names that they vote under; empty if unknown.
+     */
+    public Map<String, Boolean> members() {
+        Map<String, Boolean> members = new TreeMap<>();
+        if (raft != null) {
+            RaftGroupMembers its = raft.getCommittedMembers();
+            its.getMembers().forEach(one ->
+                members.put(RaftCodec.name(one), its.getVotingMembers().contains(one)));
+        }
+        return members;
+    }
+
+    /** The entry of the log that made the members what they are; 0 for those it was founded with. */
+    public long membersSince() {
+        return raft == null ? 0 : raft.getCommittedMembers().getLogIndex();
+    }
+
+    /** The node of a voter. */
+    public static String node(String voter) {
+        return Endpoint.node(voter);
+    }
+
+    /** The nodes of the voters, and of those that are to become voters. */
+    public Set<String> seats() {
+        Set<String> nodes = new TreeSet<>();
+        members().keySet().forEach(one -> nodes.add(Endpoint.node(one)));
+        return nodes;
+    }
+
+    /**
+     * Does the next step of putting one node in another's place, if this voter leads: it comes in as one that
+     * listens, votes once it has the log, and only then the other goes. Danger: done in another order, or two
+     * steps at once, a cluster that has lost a voter would be without a majority meanwhile.
+     *
+     * @param leaving the node that is to vote no more
+     * @param coming the node that is to vote
+     * @param entry the log's entry that says so
+     * @param seat is given what the node that comes must be told, as long as it must
+     * @return whether nothing is left to be done
+     */
+    public boolean replace(String leaving, String coming, long entry, Consumer<JsonNode> seat) {
+        String fresh = Endpoint.name(coming, entry);
+        Map<String, Boolean> members = members();
+        if (changing || !leading()) {
+            return false;
+        } else if (!members.containsKey(fresh)) {
+            change(fresh, MembershipChangeMode.ADD_LEARNER);
+        } else if (!members.get(fresh)) {
+            List<String> founders = new ArrayList<>();
+            raft.getInitialMembers().getMembers().forEach(one -> founders.add(RaftCodec.name(one)));
+            seat.accept(new Seat(fresh, founders, membersSince()).text());
+            promote(fresh);
+        } else {
+            for (Map.Entry<String, Boolean> one : members.entrySet()) {
+                boolean goes = Endpoint.node(one.getKey()).equals(leaving) || !one.getValue();
+                if (goes && !one.getKey().equals(fresh)) {
+                    change(one.getKey(), MembershipChangeMode.REMOVE_MEMBER);
+                    return false;
+                }
+            }
+            return true;
+        }
+        return false;
+    }
+
+    private void promote(String fresh) {
+        RaftNode its = raft;
+        changing = true;
+        its.getReport().whenComplete((report, fault) -> ground.after(0, () -> {
+            changing = false;
+            if (fault == null && raft == its && !ended) {
+                var log = report.getResult().getLog();
+                if (log.getFollowerMatchIndices().getOrDefault(new Endpoint(fresh), 0L)
+                    >= log.getCommitIndex() - ENTRIES) {
+                    change(fresh, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER);
+                }
+            }
+        }));
+    }
+
+    private void change(String who, MembershipChangeMode how) {
+        changing = true;
+        RaftNode its = raft;
+        its.changeMembership(new Endpoint(who), how, membersSince())
+            .whenComplete((result, fault) -> ground.after(0, () -> {
+                changing = false;
+            }));
+    }
+
+    /** A leader gives this node a place among the voters. One that has a place keeps it. */
+    public void seated(JsonNode text) throws BadMessage {
+        Seat seat = Seat.of(text, "seat");
+        boolean free = voter.isEmpty() || founding.forgot();
+        if (ended || !free || !Endpoint.node(seat.voter()).equals(name) || seat.since() <= since) {
+            return;
+        }
+        take(seat);
+    }
+
+    private void take(Seat seat) {
+        try {
+            seat.keep(shelf);
+        } catch (IOException e) {
+            storeFailed(e);
+            return;
+        }
+        founding.seated();
+        voter = seat.voter();
+        first = seat.first();
+        since = seat.since();
+        anew();
+    }
+
+    /**
+     * Hears, from a leader that a quorum confirmed, who the members are. Danger: one that is none of them any
+     * more would go on asking for votes; it keeps no log, and never comes back under its name.
+     */
+    public void told(Set<String> members, long as) {
+        if (!ended && !voter.isEmpty() && founding.done() && as > since && !members.isEmpty()
+            && !members.contains(voter)) {
+            take(new Seat("", List.copyOf(first), as));
+        }
+    }
+
     /** Plants a fault: a voter whose store is empty goes on as if the cluster had been founded with it. */
     public static void plantFounded(Shelf shelf) {
         shelf.put(Founding.KEY, Founding.Stage.FOUNDED.name());
@@ -175,7 +334,8 @@
     /** Why this voter takes no part, or null where it does. */
     public String broken() {
         return broken != null ? broken : founding.forgot()
-            ? "its store is empty, but the cluster was founded: it must be replaced" : founding.done() ? null
+            ? "its store is empty, but the cluster was founded: it must be replaced"
+            : voter.isEmpty() ? since > 0 ? "another has its place" : "spare" : founding.done() ? null
             : "waits for all voters to be there for the first time";
     }
 
@@ -185,12 +345,12 @@
             return;
         } else if (message.path("founding").isObject()) {
             founding.heard(from, message.path("founding"));
-        } else if (!message.path("from").asText().equals(from)) {
+        } else if (!Endpoint.node(message.path("from").asText()).equals(from)) {
             throw new BadMessage("raft: from: is not its sender");
         } else {
             RaftMessage read = codec.read(message);
-            // Danger: one that lost its memory must not answer as if it had none to lose.
-            if (founding.done()) {
+            // Danger: one that lost its memory must not answer as if it had none to lose; nor as another.
+            if (founding.done() && raft != null && message.path("to").asText().equals(voter)) {
                 raft.handle(read);
             }
         }
@@ -198,7 +358,7 @@
 
     /** Who leads as far as is known; null where nobody does. */
     public String leader() {
-        return leader;
+        return leader == null ? null : Endpoint.node(leader);
     }
 
     public boolean leading() {
@@ -216,11 +376,19 @@
      * @param then what the book made of it, or null where it is not known whether it is in the log or will be
      */
     public void propose(String entry, Consumer<Object> then) {
+        if (raft == null) {
+            ground.after(0, () -> then.accept(null));
+            return;
+        }
         done(raft.<Object>replicate(entry), then);
     }
 
     /** Asks a quorum whether this voter still leads: if so, what it has applied holds at this moment. */
     public void confirm(Consumer<Boolean> then) {
+        if (raft == null) {
+            ground.after(0, () -> then.accept(false));
+            return;
+        }
         done(raft.<Object>query("", QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()),
             result -> then.accept(result != null));
     }
@@ -292,7 +460,8 @@
         @Override
         public void send(RaftEndpoint target, RaftMessage message) {
             if (!over()) {
-                Voter.this.send(RaftCodec.name(target), codec.write(message));
+                String to = RaftCodec.name(target);
+                Voter.this.send(Endpoint.node(to), codec.write(message).put("to", to));
             }
         }
 
--- a/src/main/java/gorserill/cluster/consensus/VoterStore.java
+++ b/src/main/java/gorserill/cluster/consensus/VoterStore.java
@@ -53,14 +53,11 @@
         var endpoint = codec.models().createRaftEndpointPersistentStateBuilder()
             .setLocalEndpoint(new Endpoint(read(all, ENDPOINT).path("name").asText()))
             .setVoting(read(all, ENDPOINT).path("voting").asBoolean()).build();
-        RaftTermPersistentState term = null;
-        if (all.containsKey(TERM)) {
-            JsonNode kept = read(all, TERM);
-            term = codec.models().createRaftTermPersistentStateBuilder().setTerm(kept.path("term").asInt())
-                .setVotedFor(kept.path("voted").isTextual() ? new Endpoint(kept.path("voted").asText())
-                : null)
-                .build();
-        }
+        // Danger: one that ended before its first term has none kept, and the library takes no null.
+        JsonNode kept = all.containsKey(TERM) ? read(all, TERM) : TEXT.createObjectNode();
+        RaftTermPersistentState term = codec.models().createRaftTermPersistentStateBuilder()
+            .setTerm(kept.path("term").asInt()).setVotedFor(kept.path("voted").isTextual()
+                ? new Endpoint(kept.path("voted").asText()) : null).build();
         SnapshotEntry snapshot = snapshot(all);
         List<LogEntry> entries = new ArrayList<>();
         for (String key : all.subMap(LOG, LOG + "~").keySet()) {
--- /dev/null
+++ b/src/main/java/gorserill/cluster/lab/Explorer.java
@@ -0,0 +1,74 @@
+package gorserill.cluster.lab;
+
+import gorserill.cluster.lab.Lab.Outcome;
+import gorserill.cluster.lab.Lab.Plan;
+import gorserill.cluster.lab.Lab.Slip;
+import gorserill.cluster.member.Member;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+
+/**
+ * A checker of small scope: from one run of three nodes in which nothing goes wrong, every run that differs
+ * from it by one slip or two within so many steps. Each is played to its end with all of the lab's rules, so
+ * nothing is left out as like another; runs that came to the same are counted by what was said in them.
+ */
+public final class Explorer {
+    private static final int NODES = 3;
+    private static final int SECONDS = 4;
+    private static final long CALM = 6_000;
+
+    private Explorer() { }
+
+    /**
+     * What came of it.
+     *
+     * @param violated the first run that broke a rule, by its slips; null where none did
+     * @param distinct runs that differ in what was sent
+     */
+    public record Found(long runs, long distinct, long acts, Map<Integer, Slip> violated, Outcome outcome) { }
+
+    /**
+     * Plays them.
+     *
+     * @param from the first step that may slip, counted from when all has settled
+     * @param steps how many may
+     * @param depth slips in a run, 1 or 2
+     */
+    public static Found run(long seed, int from, int steps, int depth, Set<Member.Plant> plants) {
+        List<Map<Integer, Slip>> all = new ArrayList<>();
+        for (int first = from; first < from + steps; first++) {
+            for (Slip one : Slip.values()) {
+                all.add(Map.of(first, one));
+                for (int second = first + 1; depth > 1 && second < from + steps; second++) {
+                    for (Slip two : Slip.values()) {
+                        all.add(new TreeMap<>(Map.of(first, one, second, two)));
+                    }
+                }
+            }
+        }
+        Set<Long> distinct = ConcurrentHashMap.newKeySet();
+        AtomicReference<Found> bad = new AtomicReference<>();
+        long[] sums = all.parallelStream().flatMap(slips -> {
+            if (bad.get() != null) {
+                return Stream.empty();
+            }
+            Outcome outcome = Lab.run(new Plan(NODES, NODES, SECONDS, seed, EnumSet.noneOf(Lab.Fault.class),
+                plants, CALM, slips));
+            distinct.add(outcome.fingerprint());
+            if (outcome.violation() != null) {
+                bad.compareAndSet(null, new Found(0, 0, 0, slips, outcome));
+            }
+            return Stream.of(new long[] {1, outcome.acts()});
+        }).reduce(new long[2], (a, b) -> new long[] {a[0] + b[0], a[1] + b[1]});
+        Found first = bad.get();
+        return new Found(sums[0], distinct.size(), sums[1], first == null ? null : first.violated,
+            first == null ? null : first.outcome);
+    }
+}
--- a/src/main/java/gorserill/cluster/lab/Lab.java
+++ b/src/main/java/gorserill/cluster/lab/Lab.java
@@ -2,12 +2,14 @@
 
 import gorserill.cluster.BadMessage;
 import gorserill.cluster.Ground;
+import gorserill.cluster.consensus.Voter;
 import gorserill.cluster.member.Duty;
 import gorserill.cluster.member.Member;
 import gorserill.cluster.member.Terms;
 import gorserill.cluster.standing.Standing;
 import gorserill.cluster.standing.StandingJob;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,6 +20,7 @@
 import java.util.SortedSet;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 /**
@@ -26,25 +29,86 @@
  */
 public final class Lab {
     /** What can be made to happen. */
-    public enum Fault { LOSS, CUT, ONE_WAY, FLAP, STALL, CRASH, RESTART_ALL, DRIFT, DISK, FORGET, LEAVE }
+    public enum Fault { LOSS, CUT, ONE_WAY, LINK, FLAP, STALL, CRASH, RESTART_ALL, DRIFT, DISK, FORGET, MOVE,
+        LEAVE }
+
+    /** What can be made to happen at one step of a node: a message that comes, or a time that is due. */
+    public enum Slip {
+        /** The message is lost; what is due is done. */
+        LOST,
+        /** It comes, or is done, a lease and a half later; what comes after it does not wait. */
+        LATE,
+        /** The node stands still for a lease and a half before it. */
+        STALLED,
+        /** The process dies before it, and after it. */
+        DIES_BEFORE, DIES_AFTER
+    }
 
     /**
      * A run.
      *
      * @param nodes in all, the first {@code voters} of them voting
-     * @param seconds of faults; after that all is whole for {@link #CALM} ms, in which work must go on
+     * @param seconds of faults; after that all is whole for {@code calm} ms, in which work must go on
+     * @param slips at steps that are counted from {@link #SETTLED} on
      */
     public record Plan(int nodes, int voters, int seconds, long seed, Set<Fault> faults,
-        Set<Member.Plant> plants) { }
+                       Set<Member.Plant> plants, long calm, Map<Integer, Slip> slips) {
+        public Plan(int nodes, int voters, int seconds, long seed, Set<Fault> faults,
+                    Set<Member.Plant> plants) {
+            this(nodes, voters, seconds, seed, faults, plants, CALM, Map.of());
+        }
+    }
 
     /** What came of it; {@code violation} is null where nothing was broken. */
     public record Outcome(String violation, List<String> history, int acts, int unknown, int epochs,
-        int faults,
-                          long longestGap, long messages, long bytes, long fingerprint) { }
+        int faults, int lives, int replaced,
+                          long longestGap, long messages, long bytes, long fingerprint, int steps) { }
+
+    /** What came of many runs; for any thread. */
+    public static final class Sum {
+        private int runs;
+        private int violated;
+        private long acts;
+        private long unknown;
+        private long epochs;
+        private long lives;
+        private long replaced;
+        private long gap;
+        private long messages;
+        private long bytes;
+
+        /** Gives whether a rule was broken. */
+        public synchronized boolean add(Outcome one) {
+            runs++;
+            violated += one.violation == null ? 0 : 1;
+            acts += one.acts;
+            unknown += one.unknown;
+            epochs += one.epochs;
+            lives += one.lives;
+            replaced += one.replaced;
+            gap = Math.max(gap, one.longestGap);
+            messages += one.messages;
+            bytes += one.bytes;
+            return one.violation != null;
+        }
+
+        public synchronized int violated() {
+            return violated;
+        }
+
+        public synchronized String text() {
+            return (violated == 0 ? "ok" : "violated: " + violated) + " (" + runs + " runs, acts " + acts
+                + ", claims of unknown end " + unknown + ", epochs " + epochs + ", lives ended though the "
+                + "process lived " + lives + ", voters replaced " + replaced + ", longest without an owner "
+                + gap + " ms, messages " + messages + ", bytes " + bytes + ")";
+        }
+    }
 
     /** Work of the fleet: acts that must never be done twice, and acts that may be, by their key. */
     private static final List<String> PIECES = List.of("once-a", "once-b", "keyed-a", "keyed-b");
     public static final long CALM = 15_000;
+    /** By then a leader is there, and each piece has its owner. */
+    public static final long SETTLED = 3_000;
     private static final long BEAT = 100;
     private static final long LEASE = 1_000;
     private static final double DRIFT = 0.05;
@@ -69,8 +133,14 @@
     private long now;
     private long order;
     private double loss;
+    /** The voter that is lost for good, or is to go; one at a time. */
+    private LabNode lost;
+    private String place;
     private String violation;
     private int faults;
+    private int steps;
+    private int lives;
+    private int replaced;
     private long longestGap;
     private long messages;
     private long bytes;
@@ -96,6 +166,7 @@
         int incarnation;
         long stalledUntil;
         boolean up;
+        long life;
         Member member;
         Standing standing;
 
@@ -108,6 +179,7 @@
         void boot() {
             incarnation++;
             up = true;
+            life = 0;
             standing = new Standing(JOBS, this, () -> now, this::work, (job, number, epoch, what) -> {
                 if (what.startsWith("claimed")) {
                     first.putIfAbsent(job, number);
@@ -232,9 +304,11 @@
         }
         nodes.values().forEach(node -> at(random.nextInt(200), node, -1, node::boot));
         long calmFrom = plan.seconds * 1_000L;
-        events.add(new Event(4_000, order++, null, -1, this::trouble));
+        if (plan.slips.isEmpty()) {
+            events.add(new Event(4_000, order++, null, -1, this::trouble));
+        }
         events.add(new Event(calmFrom, order++, null, -1, this::calm));
-        while (!events.isEmpty() && violation == null && now < calmFrom + CALM) {
+        while (!events.isEmpty() && violation == null && now < calmFrom + plan.calm) {
             Event event = events.poll();
             now = event.at;
             LabNode to = event.to;
@@ -246,21 +320,52 @@
                 // Stalled: what would run now runs when it wakes up, in the same order.
                 events.add(new Event(to.stalledUntil, event.order, to, event.incarnation, event.what));
                 continue;
-            } else {
+            } else if (!slips(event)) {
                 try {
                     event.what.run();
                 } catch (RuntimeException e) {
                     violation(to.name + " failed: " + e + " at " + e.getStackTrace()[0]);
                 }
             }
+            if (to != null) {
+                lives(to);
+            }
             check();
         }
         if (violation == null) {
             end();
         }
-        return new Outcome(violation, history, runs.size(), unknown.size(), epochOf.size(), faults,
-            longestGap,
-            messages, bytes, fingerprint);
+        return new Outcome(violation, history, runs.size(), unknown.size(), epochOf.size(), faults, lives,
+            replaced, longestGap, messages, bytes, fingerprint, steps);
+    }
+
+    /** Does to this step what the plan says; whether it is not to be carried out now. */
+    private boolean slips(Event event) {
+        Slip slip = now < SETTLED ? null : plan.slips.get(steps++);
+        if (slip == null) {
+            return false;
+        }
+        LabNode node = event.to;
+        boolean message = event.incarnation < 0;
+        tell("slip: " + (message ? "a message to " : "what is due at ") + node.name + ": " + slip);
+        long late = now + LEASE + LEASE / 2;
+        switch (slip) {
+            case LOST -> {
+                return message;
+            }
+            case LATE -> events.add(new Event(late, order++, node, event.incarnation, event.what));
+            case STALLED -> {
+                node.stalledUntil = late;
+                events.add(new Event(late, event.order, node, event.incarnation, event.what));
+            }
+            case DIES_BEFORE -> crash(node, 50);
+            case DIES_AFTER -> {
+                event.what.run();
+                crash(node, 50);
+            }
+            default -> { }
+        }
+        return true;
     }
 
     private void tell(String what) {
@@ -277,6 +382,15 @@
         }
     }
 
+    /** A life after the first of a process: the one before was ended, though the process lived. */
+    private void lives(LabNode node) {
+        long now = node.up ? node.member.life() : 0;
+        if (now > 0 && now != node.life) {
+            lives += node.life > 0 ? 1 : 0;
+            node.life = now;
+        }
+    }
+
     /** At no time do two nodes both believe, each by its own clock, that a piece is theirs. */
     private void check() {
         for (String piece : PIECES) {
@@ -358,6 +472,11 @@
                 }
             });
             case ONE_WAY -> nodes.keySet().forEach(other -> cut(other, node.name, length));
+            case LINK -> {
+                LabNode other = any();
+                cut(node.name, other.name, length);
+                cut(other.name, node.name, length);
+            }
             case FLAP -> {
                 for (long t = 0; t < length; t += 300) {
                     later(t, () -> nodes.keySet().forEach(other -> cut(node.name, other, 150)));
@@ -368,11 +487,21 @@
             case RESTART_ALL -> nodes.values().forEach(n -> crash(n, 50 + random.nextInt(500)));
             case DISK -> node.shelf.fails = true;
             case FORGET -> {
-                // One voter at a time can be lost for good; a command must bring another.
-                if (node.up && node.name.equals("n0")) {
+                // One voter at a time can be lost for good; a command brings another.
+                if (node.up && lost == null && seats().contains(node.name)) {
+                    lost = node;
                     node.crash();
                     node.shelf.forget();
-                    later(length, () -> restart(node));
+                    later(length, () -> {
+                        restart(node);
+                        replace(node);
+                    });
+                }
+            }
+            case MOVE -> {
+                if (node.up && lost == null && seats().contains(node.name)) {
+                    lost = node;
+                    replace(node);
                 }
             }
             case LEAVE -> {
@@ -398,6 +527,49 @@
         }
     }
 
+    /** The nodes that vote, as whoever has applied most knows. */
+    private Set<String> seats() {
+        Set<String> seats = new TreeSet<>();
+        voters().keySet().forEach(v -> seats.add(Voter.node(v)));
+        return seats;
+    }
+
+    private Map<String, Boolean> voters() {
+        return nodes.values().stream().filter(n -> n.up && "leads".equals(n.member.voting()))
+            .max(Comparator.comparingLong(n -> n.member.asOf())).map(n -> n.member.voters()).orElse(Map.of());
+    }
+
+    /** An operator, who asks whichever node is up, and again until it is done. */
+    private void replace(LabNode gone) {
+        Set<String> seats = seats();
+        List<String> spare = new ArrayList<>(nodes.keySet());
+        spare.removeIf(name -> seats.contains(name) && !name.equals(gone.name)
+            || name.equals(gone.name) && !gone.member.voting().contains("empty"));
+        LabNode asked = any();
+        if (lost == gone && place == null && asked.up && !spare.isEmpty()) {
+            String coming = spare.get(random.nextInt(spare.size()));
+            asked.member.replace(gone.name, coming, LEASE, answer -> {
+                if (answer != null && answer.done() && lost == gone) {
+                    place = coming + "#" + answer.number();
+                    tell("operator: " + place + " is to vote in the place of " + gone.name);
+                }
+            });
+        }
+        Map<String, Boolean> voters = voters();
+        if (lost == gone && place != null && voters.getOrDefault(place, false)
+            && voters.size() == plan.voters) {
+            // Danger: lost while the other has its place in part only, a second one could be one too many.
+            replaced++;
+            lost = null;
+            place = null;
+        }
+        later(2 * LEASE, () -> {
+            if (lost == gone && now < plan.seconds * 1_000L + plan.calm / 2) {
+                replace(gone);
+            }
+        });
+    }
+
     private void cut(String from, String to, long length) {
         if (!from.equals(to)) {
             cutUntil.merge(from + ">" + to, now + length, Math::max);
--- a/src/main/java/gorserill/cluster/member/Desk.java
+++ b/src/main/java/gorserill/cluster/member/Desk.java
@@ -11,7 +11,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * Serves the members while this voter leads: puts entries into the log for them, renews leases, ends the
@@ -35,11 +37,13 @@
     private final List<Renewal> waiting = new ArrayList<>();
     private boolean confirming;
     private long leadsSince = -1;
+    private long lookedAt;
 
     /** When the life of that number was heard last. */
     private record Heard(long life, long at) { }
 
-    private record Renewal(String node, long life, long at, long came) { }
+    private record Renewal(BiConsumer<String, ObjectNode> back, String node, long life, long at,
+                           long came) { }
 
     Desk(Terms terms, Ground ground, Voter voter, Register register, BiConsumer<String, ObjectNode> send) {
         this.terms = terms;
@@ -56,6 +60,7 @@
         closing.clear();
         waiting.clear();
         confirming = false;
+        lookedAt = leadsSince;
         if (now) {
             watch(leadsSince);
         }
@@ -65,6 +70,12 @@
         if (leadsSince != since) {
             return;
         }
+        // Danger: one that was stalled, or is starved, has not listened, and would take all others for dead.
+        long late = Math.max(0, ground.millis() - lookedAt - 2 * terms.beat());
+        lookedAt = ground.millis();
+        if (late > 0) {
+            heardAt.replaceAll((node, heard) -> new Heard(heard.life, heard.at + late));
+        }
         for (Map.Entry<String, Register.Node> each : List.copyOf(register.nodes().entrySet())) {
             long life = each.getValue().life;
             Heard heard = heardAt.get(each.getKey());
@@ -74,14 +85,19 @@
             } else if (ground.millis() - heard.at > terms.patience()) {
                 heardAt.put(each.getKey(), new Heard(life, ground.millis()));
                 closing.put(each.getKey(), life);
-                put(new Entry.Close(each.getKey(), life, "not heard"), answer -> { });
+                put(new Entry.Close(each.getKey(), life, Register.UNHEARD), answer -> { });
             }
         }
+        Register.Replacing its = register.replacing();
+        if (its != null && voter.replace(its.leaving, its.coming, its.entry,
+            seat -> send.accept(its.coming, message("seat").set("seat", seat)))) {
+            put(new Entry.Replaced(its.entry), answer -> { });
+        }
         ground.after(terms.beat(), () -> watch(since));
     }
 
     /** Puts an entry into the log, and tells those whose pieces that changed. */
-    private void put(Entry entry, java.util.function.Consumer<Register.Answer> then) {
+    private void put(Entry entry, Consumer<Register.Answer> then) {
         Map<String, Long> before = new HashMap<>();
         register.pieces().forEach((name, piece) -> before.put(name, piece.epoch));
         voter.propose(Register.text(entry), result -> {
@@ -95,19 +111,34 @@
         });
     }
 
-    void asked(String from, String process, long id, Entry entry) {
-        put(entry, answer -> {
+    void asked(BiConsumer<String, ObjectNode> back, String from, String process, long id, Entry entry) {
+        Consumer<Register.Answer> then = answer -> {
             if (answer != null) {
-                send.accept(from, message("told").put("process", process).put("id", id)
+                back.accept(from, message("told").put("process", process).put("id", id)
                     .put("done", answer.done())
                     .put("why", answer.why()).put("number", answer.number()));
             }
-        });
+        };
+        String whyNot = entry instanceof Entry.Replace replace ? whyNot(replace) : null;
+        if (whyNot == null) {
+            put(entry, then);
+        } else {
+            then.accept(new Register.Answer(false, whyNot, 0));
+        }
+    }
+
+    /** Why a voter can't be replaced so; null where it can. */
+    private String whyNot(Entry.Replace replace) {
+        Set<String> seats = voter.seats();
+        return !seats.contains(replace.leaving()) ? "no voter " + replace.leaving() + " among " + seats
+            : seats.contains(replace.coming()) && !replace.coming().equals(replace.leaving())
+            ? replace.coming() + " votes already" : null;
     }
 
-    void renew(String from, long life, long at) {
+    /** @param back the way that the answer goes */
+    void renew(BiConsumer<String, ObjectNode> back, String from, long life, long at) {
         if (waiting.size() < WAITING) {
-            waiting.add(new Renewal(from, life, at, ground.millis()));
+            waiting.add(new Renewal(back, from, life, at, ground.millis()));
         }
         if (!confirming) {
             confirming = true;
@@ -144,7 +175,7 @@
             heardAt.put(renewal.node, new Heard(renewal.life, heard != null && heard.life == renewal.life
                 ? Math.max(heard.at, renewal.came) : renewal.came));
         }
-        send.accept(renewal.node, view(renewal.node, renewal.at));
+        renewal.back.accept(renewal.node, view(renewal.node, renewal.at));
     }
 
     /** What a node owns, as of the log's last entry. */
@@ -152,6 +183,8 @@
         Register.Node node = register.nodes().get(to);
         ObjectNode view = message("view").put("at", at).put("as_of", voter.applied())
             .put("life", node == null ? 0 : node.life);
+        view.put("members_since", voter.membersSince());
+        voter.members().keySet().forEach(view.putArray("members")::add);
         ArrayNode pieces = view.putArray("pieces");
         register.pieces().forEach((name, piece) -> {
             if (piece.owner.equals(to)) {
--- a/src/main/java/gorserill/cluster/member/Duty.java
+++ b/src/main/java/gorserill/cluster/member/Duty.java
@@ -1,9 +1,30 @@
 package gorserill.cluster.member;
 
+import java.util.Map;
 import java.util.SortedSet;
 
 /** What is done with a piece that this node owns; called on the member's thread. */
 public interface Duty {
+    /** The duty of each piece by its name. */
+    static Duty of(Map<String, Duty> byPiece) {
+        return new Duty() {
+            @Override
+            public void owns(String piece, long epoch, long last, SortedSet<Long> unknown) {
+                byPiece.get(piece).owns(piece, epoch, last, unknown);
+            }
+
+            @Override
+            public void handOver(String piece, long epoch, Runnable then) {
+                byPiece.get(piece).handOver(piece, epoch, then);
+            }
+
+            @Override
+            public void lost(String piece, long epoch) {
+                byPiece.get(piece).lost(piece, epoch);
+            }
+        };
+    }
+
     /**
      * The piece is this node's from here on.
      *
--- a/src/main/java/gorserill/cluster/member/Member.java
+++ b/src/main/java/gorserill/cluster/member/Member.java
@@ -13,14 +13,18 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * A node in the cluster. It asks the leader for a life in the register and renews its lease; while the lease
@@ -34,6 +38,10 @@
     private static final int RENEWALS = 5;
     /** What is asked of the leader and waits for its answer. */
     private static final int ASKING = 512;
+    /** Whom a message by way of another is for, where that one may know better: whoever leads. */
+    private static final String LEADER = "";
+    /** Voters that a node asks for the leader, beside those that its file names. */
+    private static final int SEATS = 9;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** What came of a claim. */
@@ -58,7 +66,11 @@
         /** A new owner goes on under the epoch of the one before. */
         EPOCH_NOT_KEPT,
         /** A voter with an empty store votes as if it remembered. */
-        FORGOTTEN_VOTES
+        FORGOTTEN_VOTES,
+        /** Permits are given whoever is out. */
+        PERMITS_UNCOUNTED,
+        /** What can't go straight goes by nobody else. */
+        NO_DETOUR
     }
 
     private static final class Held {
@@ -98,6 +110,8 @@
     private final Map<String, Integer> dropped = new HashMap<>();
     private long nextId = 1;
     private int leaderAt;
+    private int ways;
+    private List<String> seats;
     private String leader;
     private long life;
     private long asOf = -1;
@@ -121,8 +135,10 @@
         this.duty = duty;
         this.plants = plants;
         boot = terms.boot();
-        register = new Register(plants.contains(Plant.EPOCH_NOT_KEPT));
-        if (terms.votes()) {
+        seats = terms.voters();
+        register = new Register(Arrays.stream(Register.Flaw.values()).filter(flaw ->
+            plants.stream().anyMatch(plant -> plant.name().equals(flaw.name()))).collect(Collectors.toSet()));
+        if (terms.votes() || shelf != null) {
             if (plants.contains(Plant.FORGOTTEN_VOTES)) {
                 Voter.plantFounded(shelf);
             }
@@ -200,6 +216,11 @@
         return voter != null && voter.leader() != null ? voter.leader() : leader;
     }
 
+    /** The log's entry as of which this node last heard what it owns; -1 where it has not. */
+    public long asOf() {
+        return asOf;
+    }
+
     /** What a voter has applied of the log; empty at others, and late anywhere but at the leader. */
     public Register register() {
         return register;
@@ -218,6 +239,26 @@
 
     // ---- what this node asks ----
 
+    /** Puts one node in another's place among the voters, or one that lost its disk in its own. */
+    public void replace(String leaving, String coming, long wait, Consumer<Register.Answer> then) {
+        ask(new Entry.Replace(leaving, coming), then, wait);
+    }
+
+    /** Asks to be out of service while fewer than {@code most} others are; forced, it is out anyway. */
+    public void permit(int most, boolean forced, long wait, Consumer<Register.Answer> then) {
+        ask(new Entry.Permit(terms.node(), most, forced), then, wait);
+    }
+
+    /** A node is back in service, or is not to be waited for. */
+    public void release(String node, long wait, Consumer<Register.Answer> then) {
+        ask(new Entry.Release(node), then, wait);
+    }
+
+    /** The voters, by the names that they vote under, and whether each votes yet; as this voter knows. */
+    public Map<String, Boolean> voters() {
+        return voter == null ? Map.of() : voter.members();
+    }
+
     /** It is to own nothing new, and hands over what it has; or no longer so. */
     public void leaves(boolean so) {
         leaves = so;
@@ -372,6 +413,7 @@
             return;
         }
         asOf = of;
+        members(view);
         if (!inLease()) {
             // Danger: it ran out and nobody noticed; renewed as if it had not, whoever stopped would stay
             // stopped.
@@ -397,6 +439,21 @@
         }
     }
 
+    /** Who votes may change; nodes ask them, and those that the file names, for the leader. */
+    private void members(JsonNode view) {
+        Set<String> members = new TreeSet<>();
+        view.path("members").forEach(one -> members.add(one.asText()));
+        Set<String> nodes = new LinkedHashSet<>(terms.voters());
+        members.stream().limit(SEATS).forEach(one -> nodes.add(Voter.node(one)));
+        if (nodes.size() != seats.size()) {
+            seats = List.copyOf(nodes);
+            leaderAt = 0;
+        }
+        if (voter != null) {
+            voter.told(members, view.path("members_since").asLong());
+        }
+    }
+
     private void hold(JsonNode pieces) {
         Set<String> named = new HashSet<>();
         for (JsonNode one : pieces) {
@@ -448,17 +505,37 @@
 
     private void leaderUnheard() {
         leader = null;
-        leaderAt = (leaderAt + 1) % terms.voters().size();
+        leaderAt = (leaderAt + 1) % seats.size();
     }
 
+    /**
+     * To whoever leads, as far as is known; and, where no word has come of it for half a lease, also by way
+     * of another voter. Danger: one link that is cut would otherwise end a life that all the others hear.
+     */
     private void sendToLeader(ObjectNode message) {
         String to = voter != null && voter.leader() != null ? voter.leader()
-            : leader != null ? leader : terms.voters().get(leaderAt);
+            : leader != null ? leader : seats.get(leaderAt);
+        String other = seats.get((leaderAt + 1 + ways++ % seats.size()) % seats.size());
+        if (!plants.contains(Plant.NO_DETOUR) && ground.millis() >= leaseUntil - terms.lease() / 2
+            && !other.equals(terms.node())
+            && !other.equals(to)) {
+            by(other, LEADER, message.deepCopy());
+        }
         send(to, message);
     }
 
+    /** By way of another member, since the straight way may be cut. */
+    private void by(String way, String to, ObjectNode message) {
+        sign(message);
+        send(way, Desk.message("by").put("to", to).set("message", message));
+    }
+
+    private ObjectNode sign(ObjectNode message) {
+        return message.put("cluster", terms.cluster()).put("from", terms.node());
+    }
+
     private void send(String to, ObjectNode message) {
-        message.put("cluster", terms.cluster()).put("from", terms.node());
+        sign(message);
         byte[] bytes = message.toString().getBytes(StandardCharsets.UTF_8);
         if (bytes.length > MOST) {
             drop("too long to send: " + message.path("kind").asText());
@@ -487,7 +564,7 @@
                 drop("another cluster's");
             } else {
                 String from = message.path("from").asText();
-                heard(from, message);
+                heard(from, message, this::send);
                 return from;
             }
         } catch (JsonProcessingException e) {
@@ -498,7 +575,9 @@
         return null;
     }
 
-    private void heard(String from, JsonNode message) throws BadMessage, IOException {
+    /** @param back the way that an answer goes */
+    private void heard(String from, JsonNode message, BiConsumer<String, ObjectNode> back)
+        throws BadMessage, IOException {
         String kind = message.path("kind").asText();
         switch (kind) {
             case "raft" -> {
@@ -507,7 +586,14 @@
                 }
                 voter.heard(from, message.path("raft"));
             }
-            case "ask", "renew" -> serve(from, kind, message);
+            case "ask", "renew" -> serve(from, kind, message, back);
+            case "by" -> passOn(from, message.path("to").asText(), message.path("message"));
+            case "seat" -> {
+                if (voter == null) {
+                    throw new BadMessage("seat: this node has no store to vote with");
+                }
+                voter.seated(message.path("seat"));
+            }
             case "told" -> {
                 // Danger: an answer to the process before this one would pass for an answer to this one.
                 Question question = message.path("process").asText().equals(terms.process())
@@ -523,20 +609,44 @@
             }
             case "where" -> {
                 String named = message.path("leader").asText("");
-                leader = terms.voters().contains(named) ? named : null;
+                leader = named.isEmpty() || named.equals(terms.node()) ? null : named;
             }
             default -> throw new BadMessage("kind: '" + kind + "' is none of this build's");
         }
     }
 
-    private void serve(String from, String kind, JsonNode message) throws BadMessage {
+    /**
+     * What another member can't send straight. Danger: passed on as it is, it could go round for ever; one
+     * that came by another is for this node, and its answer goes the way it came.
+     */
+    private void passOn(String way, String to, JsonNode message) throws BadMessage, IOException {
+        if (!(message instanceof ObjectNode inner) || inner.path("kind").asText().equals("by")
+            || !inner.path("cluster").asText().equals(terms.cluster())) {
+            throw new BadMessage("by: holds no message of this cluster");
+        }
+        // Danger: who can't reach the leader may not know any more who it is; whoever is on the way does.
+        String its = !to.equals(LEADER) ? to : voter != null && voter.leading() ? terms.node() : leader();
+        if (its == null) {
+            drop("by: no leader is known here");
+        } else if (its.equals(terms.node())) {
+            heard(inner.path("from").asText(), inner, (from, answer) -> {
+                by(way, from, answer.deepCopy());
+                send(from, answer);
+            });
+        } else if (!way.equals(its)) {
+            send(its, Desk.message("by").put("to", its).set("message", inner));
+        }
+    }
+
+    private void serve(String from, String kind, JsonNode message, BiConsumer<String, ObjectNode> back)
+        throws BadMessage {
         if (voter == null || !voter.leading()) {
-            send(from, Desk.message("where").put("leader", voter == null ? null : voter.leader()));
+            back.accept(from, Desk.message("where").put("leader", leader()));
         } else if (kind.equals("renew")) {
-            desk.renew(from, message.path("life").asLong(), message.path("at").asLong());
+            desk.renew(back, from, message.path("life").asLong(), message.path("at").asLong());
         } else {
             try {
-                desk.asked(from, message.path("process").asText(), message.path("id").asLong(),
+                desk.asked(back, from, message.path("process").asText(), message.path("id").asLong(),
                     Register.entry(message.path("entry").asText()));
             } catch (JsonProcessingException e) {
                 throw new BadMessage("entry: is none of this build's");
--- a/src/main/java/gorserill/cluster/ownership/Entry.java
+++ b/src/main/java/gorserill/cluster/ownership/Entry.java
@@ -11,6 +11,10 @@
     @JsonSubTypes.Type(value = Entry.Leave.class, name = "leave"),
     @JsonSubTypes.Type(value = Entry.Yield.class, name = "yield"),
     @JsonSubTypes.Type(value = Entry.Transfer.class, name = "transfer"),
+    @JsonSubTypes.Type(value = Entry.Replace.class, name = "replace"),
+    @JsonSubTypes.Type(value = Entry.Replaced.class, name = "replaced"),
+    @JsonSubTypes.Type(value = Entry.Permit.class, name = "permit"),
+    @JsonSubTypes.Type(value = Entry.Release.class, name = "release"),
     @JsonSubTypes.Type(value = Entry.Claim.class, name = "claim"),
     @JsonSubTypes.Type(value = Entry.Done.class, name = "done")})
 public sealed interface Entry {
@@ -36,6 +40,22 @@
     /** An operator wants a piece at a node; an empty name takes that back. */
     record Transfer(String piece, String to) implements Entry { }
 
+    /** An operator wants one node to vote in another's place; both may be one, whose disk is lost. */
+    record Replace(String leaving, String coming) implements Entry { }
+
+    /** That was done; the number is the entry's that asked for it. */
+    record Replaced(long entry) implements Entry { }
+
+    /**
+     * A node asks to be out of service, while so many others may be.
+     *
+     * @param forced it is out, whatever the answer: others have to wait
+     */
+    record Permit(String node, int most, boolean forced) implements Entry { }
+
+    /** A node is back in service, or is not to be waited for. */
+    record Release(String node) implements Entry { }
+
     /**
      * An owner is about to do an act. Acts of a piece have rising numbers.
      *
--- a/src/main/java/gorserill/cluster/ownership/Register.java
+++ b/src/main/java/gorserill/cluster/ownership/Register.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.zip.CRC32C;
@@ -34,6 +35,10 @@
     private static final int NAMES = 1_000;
     /** Why an act may not be claimed: it was before. */
     public static final String CLAIMED = "that act was claimed";
+    /** Why a life is over whose node said nothing for longer than its lease. */
+    public static final String UNHEARD = "not heard";
+    /** Why a node is out of service that asked first. */
+    public static final String PERMITTED = "permit";
     /** Why a process may not open a life: there is a newer one of its name. */
     public static final String OLDER = "a newer process of that name";
     private static final ObjectMapper JSON = new ObjectMapper()
@@ -84,14 +89,30 @@
         public TreeMap<String, Newest> newest = new TreeMap<>();
         public TreeMap<String, Node> nodes = new TreeMap<>();
         public TreeMap<String, Piece> pieces = new TreeMap<>();
+        public Replacing replacing;
+        public TreeMap<String, String> out = new TreeMap<>();
+    }
+
+    /** One node is being put in another's place among the voters, as this entry of the log says. */
+    public static final class Replacing {
+        public String leaving;
+        public String coming;
+        public long entry;
     }
 
     private State state = new State();
-    /** A fault that can be planted, so that checks are seen to find it: a new owner under the old epoch. */
-    private final boolean epochNotKept;
+    /** Faults that can be planted, so that checks are seen to find them. */
+    public enum Flaw {
+        /** A new owner goes on under the epoch of the one before. */
+        EPOCH_NOT_KEPT,
+        /** Permits are given whoever is out. */
+        PERMITS_UNCOUNTED
+    }
+
+    private final Set<Flaw> flaws;
 
-    public Register(boolean epochNotKept) {
-        this.epochNotKept = epochNotKept;
+    public Register(Set<Flaw> flaws) {
+        this.flaws = flaws;
     }
 
     public Map<String, Node> nodes() {
@@ -102,6 +123,16 @@
         return state.pieces;
     }
 
+    /** What is under way among the voters; null for nothing. */
+    public Replacing replacing() {
+        return state.replacing;
+    }
+
+    /** The nodes that are out of service, and why: by permit, or gone unheard. */
+    public Map<String, String> out() {
+        return state.out;
+    }
+
     /** The text of an entry, as the log keeps it. */
     public static String text(Entry entry) {
         try {
@@ -128,7 +159,7 @@
         if (entry instanceof Entry.Open open) {
             return open(index, open);
         } else if (entry instanceof Entry.Close close) {
-            return close(close.node(), close.life());
+            return close(close.node(), close.life(), close.why());
         } else if (entry instanceof Entry.Leave leave) {
             Node node = state.nodes.get(leave.node());
             if (node == null || node.life != leave.life()) {
@@ -143,6 +174,16 @@
             return transfer(transfer);
         } else if (entry instanceof Entry.Claim claim) {
             return claim(claim);
+        } else if (entry instanceof Entry.Replace replace) {
+            return replace(index, replace);
+        } else if (entry instanceof Entry.Replaced replaced) {
+            boolean its = state.replacing != null && state.replacing.entry == replaced.entry();
+            state.replacing = its ? null : state.replacing;
+            return its ? Answer.yes(replaced.entry()) : Answer.no("that is not under way");
+        } else if (entry instanceof Entry.Permit permit) {
+            return permit(permit);
+        } else if (entry instanceof Entry.Release release) {
+            return state.out.remove(release.node()) != null ? Answer.yes(0) : Answer.no("it is not out");
         }
         return done((Entry.Done) entry);
     }
@@ -157,7 +198,7 @@
         if (node != null && same) {
             return Answer.yes(node.life);
         } else if (node != null) {
-            close(open.node(), node.life);
+            close(open.node(), node.life, "replaced");
         }
         remember(open);
         Node fresh = new Node();
@@ -166,6 +207,7 @@
         fresh.build = open.build();
         fresh.pieces.addAll(open.pieces());
         state.nodes.put(open.node(), fresh);
+        state.out.remove(open.node(), UNHEARD);
         for (String piece : open.pieces()) {
             if (state.pieces.size() < PIECES) {
                 state.pieces.computeIfAbsent(piece, p -> new Piece());
@@ -187,12 +229,15 @@
         }
     }
 
-    private Answer close(String name, long life) {
+    private Answer close(String name, long life, String why) {
         Node node = state.nodes.get(name);
         if (node == null || node.life != life) {
             return Answer.no("that life is over");
         }
         state.nodes.remove(name);
+        if (why.equals(UNHEARD) && state.out.size() < NAMES) {
+            state.out.putIfAbsent(name, UNHEARD);
+        }
         for (Piece piece : state.pieces.values()) {
             if (piece.owner.equals(name)) {
                 piece.owner = "";
@@ -225,6 +270,29 @@
         return Answer.yes(piece.epoch);
     }
 
+    private Answer replace(long index, Entry.Replace replace) {
+        if (!state.nodes.containsKey(replace.coming())) {
+            return Answer.no("no node " + replace.coming() + " is there to vote");
+        }
+        state.replacing = new Replacing();
+        state.replacing.leaving = replace.leaving();
+        state.replacing.coming = replace.coming();
+        state.replacing.entry = index;
+        return Answer.yes(index);
+    }
+
+    /** Those that went unheard are out of service, too, until they are back or said to be gone for good. */
+    private Answer permit(Entry.Permit permit) {
+        List<String> others = state.out.keySet().stream().filter(n -> !n.equals(permit.node())).toList();
+        boolean room = others.size() < permit.most() || flaws.contains(Flaw.PERMITS_UNCOUNTED);
+        if ((room || permit.forced()) && (others.size() < NAMES || state.out.containsKey(permit.node()))) {
+            state.out.put(permit.node(), room ? PERMITTED : "without permit");
+        }
+        return room ? Answer.yes(others.size() + 1)
+            : Answer.no("out of service already: " + String.join(" ", others.subList(0, Math.min(9,
+                others.size()))));
+    }
+
     private Answer claim(Entry.Claim claim) {
         Piece piece = state.pieces.get(claim.piece());
         if (piece == null || piece.epoch != claim.epoch() || piece.owner.isEmpty()) {
@@ -300,7 +368,7 @@
             String heir = piece.owner.isEmpty() ? heir(each.getKey()) : null;
             if (heir != null) {
                 piece.owner = heir;
-                piece.epoch += epochNotKept && piece.epoch > 0 ? 0 : 1;
+                piece.epoch += flaws.contains(Flaw.EPOCH_NOT_KEPT) && piece.epoch > 0 ? 0 : 1;
                 // What the one before claimed and did not end is for its successor to know as unknown.
                 piece.unknown.addAll(piece.open.keySet());
             }
--- a/src/main/java/gorserill/program/ClusterConfig.java
+++ b/src/main/java/gorserill/program/ClusterConfig.java
@@ -7,6 +7,7 @@
 import gorserill.protocol.ClassTerms;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.nio.file.Path;
 import java.time.DateTimeException;
 import java.time.LocalTime;
@@ -23,12 +24,30 @@
  * The cluster's file: who the members are, which of them vote, and the standing jobs.
  *
  * @param members addresses by name; nodes that are not among them are answered where they speak from
- * @param store the folder of what a voter must not forget; null at a node that does not vote
+ * @param store the folder of what a voter must not forget; null at a node that is not to vote
+ * @param storeBytes that it may take
+ * @param outAtOnce nodes that may be out of service at once; 0 where that is not bounded
+ * @param address what is announced of this node, and where; null where nothing is
+ * @param rate a second of this node's cluster in seconds of its clock; other than 1 in drills alone
  */
 record ClusterConfig(String cluster, InetSocketAddress listen, Map<String, InetSocketAddress> members,
-                     List<String> voters, Path store, long beat, long lease, double drift,
-                     List<StandingJob> jobs, Set<Member.Plant> plants) {
+                     List<String> voters, Path store, long storeBytes, long beat, long lease, double drift,
+                     List<StandingJob> jobs, int outAtOnce, Announced address, double rate,
+                     Set<Member.Plant> plants) {
+    /** The piece that is the service address. */
+    static final String ADDRESS = "address";
     private static final int MOST_JOBS = 64;
+    private static final Set<String> KEYS = Set.of("enabled", "cluster", "listen", "members", "voters",
+        "store", "store_kb", "beat_ms", "lease_ms", "drift_percent", "standing", "out_at_once", "address",
+        "plant", "clock_percent");
+
+    /**
+     * The service address.
+     *
+     * @param registry where it is announced, by PUT
+     * @param value this node's own
+     */
+    record Announced(URI registry, String value, long refresh) { }
 
     /** What the file says, checked; null where there is none or it does not enable the cluster. */
     static ClusterConfig read(Path file, String node, Map<String, ClassTerms> classes)
@@ -40,6 +59,11 @@
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
         Set<String> jobNames = new TreeSet<>();
         for (Map.Entry<String, String> value : values.entrySet()) {
+            if (!KEYS.contains(value.getKey().split("\\.")[0])) {
+                throw new ConfigException(file + ": " + value.getKey(),
+                    "is no key of a cluster's file; these "
+                    + "are: " + new TreeSet<>(KEYS));
+            }
             if (value.getKey().startsWith("members.")) {
                 members.put(value.getKey().substring(8),
                     NodeConfig.address(value.getValue(), file + ": " + value.getKey()));
@@ -52,7 +76,9 @@
             throw new ConfigException(file + ": voters", "name 1, 3 or 5 different nodes, not " + voters);
         }
         for (String voter : voters) {
-            if (!members.containsKey(voter) && !voter.equals(node)) {
+            if (voter.contains("#")) {
+                throw new ConfigException(file + ": voters", "a voter's name has no #, unlike " + voter);
+            } else if (!members.containsKey(voter) && !voter.equals(node)) {
                 throw new ConfigException(file + ": members." + voter,
                     "is missing: its address, as a voter's");
             }
@@ -72,9 +98,9 @@
             throw new ConfigException(file.toString(), "can't be read: " + e.getMessage());
         }
         for (String name : jobNames) {
-            if (!name.matches("[A-Za-z0-9_-]{1,40}")) {
+            if (!name.matches("[A-Za-z0-9_-]{1,40}") || name.equals(ADDRESS)) {
                 throw new ConfigException(file + ": standing." + name,
-                    "a job's name is of letters, digits, - and _, 40 at most");
+                    "a job's name is of letters, digits, - and _, 40 at most, and not " + ADDRESS);
             }
             JsonNode body = tree.path("standing").path(name).path("body");
             jobs.add(job(file, values, name, body.isContainerNode() ? body.toString() : body.asText(),
@@ -82,8 +108,42 @@
         }
         return new ClusterConfig(text(file, values, "cluster"),
             NodeConfig.address(text(file, values, "listen"), file + ": listen"), members, voters,
-            voters.contains(node) ? Path.of(text(file, values, "store")) : null, beat, lease,
-            number(file, values, "drift_percent", 5, 0, 25) / 100.0, jobs, plants(file, values));
+            voters.contains(node) || values.containsKey("store") ? Path.of(text(file, values, "store"))
+            : null, number(file, values, "store_kb", 65_536, 16, 16_777_216) << 10, beat, lease,
+            number(file, values, "drift_percent", 5, 0, 25) / 100.0, jobs,
+            (int) number(file, values, "out_at_once", 0, 0, 1_000), address(file, tree, values),
+            number(file, values, "clock_percent", 100, 50, 200) / 100.0, plants(file, values));
+    }
+
+    private static Announced address(Path file, JsonNode tree, Map<String, String> values)
+        throws ConfigException {
+        if (tree.path(ADDRESS).isMissingNode()) {
+            return null;
+        }
+        // Danger: flattened, a text loses what is no letter.
+        String registry = tree.path(ADDRESS).path("registry").asText("");
+        String value = tree.path(ADDRESS).path("value").asText("");
+        URI at;
+        try {
+            at = URI.create(registry);
+        } catch (IllegalArgumentException e) {
+            at = URI.create("");
+        }
+        if (!"http".equals(at.getScheme()) || at.getHost() == null || at.getPort() < 0) {
+            throw new ConfigException(file + ": address.registry", "'" + registry
+                + "' is not as http://127.0.0.1:8600/entry");
+        } else if (value.isBlank() || value.length() > 200) {
+            throw new ConfigException(file + ": address.value", "is this node's own address, 200 characters "
+                + "at most, not '" + value + "'");
+        }
+        return new Announced(at, value, number(file, values, "address.refresh_ms", 1_000, 50, 600_000));
+    }
+
+    /** The same with another's addresses, which are all that a running node takes over. */
+    ClusterConfig withMembersOf(ClusterConfig other) {
+        return new ClusterConfig(cluster, listen, other.members, voters, store, storeBytes, beat, lease,
+            drift,
+            jobs, outAtOnce, address, rate, plants);
     }
 
     private static StandingJob job(Path file, Map<String, String> values, String name, String body,
--- a/src/main/java/gorserill/program/ClusterPart.java
+++ b/src/main/java/gorserill/program/ClusterPart.java
@@ -4,9 +4,12 @@
 import barrowflow.Dispatcher.Settings;
 import gorserill.cluster.BadMessage;
 import gorserill.cluster.Ground;
+import gorserill.cluster.address.Address;
 import gorserill.cluster.consensus.DiskShelf;
+import gorserill.cluster.member.Duty;
 import gorserill.cluster.member.Member;
 import gorserill.cluster.member.Terms;
+import gorserill.cluster.ownership.Register;
 import gorserill.cluster.standing.Standing;
 import gorserill.cluster.standing.Standing.End;
 import gorserill.cluster.standing.StandingJob;
@@ -40,6 +43,9 @@
     private static final int ADDRESSES = 1_024;
     /** Milliseconds in which staff are to be told. */
     private static final long ANSWER = 800;
+    /** Milliseconds that a node that ends goes on for the service address's sake. */
+    private static final long HANDING_OVER = 1_000;
+    private static final long HANDING_STEP = 5;
 
     private final Loop loop = new Loop(e -> LOG.log(Level.SEVERE, "an event of the cluster failed", e),
         System::nanoTime, "cluster");
@@ -52,6 +58,10 @@
     private final Datagrams datagrams;
     private final DiskShelf shelf;
     private final Member member;
+    /** Null where none is announced. */
+    private final Address address;
+    /** Addresses by name, as the file has them at present. */
+    private Map<String, InetSocketAddress> members;
     /** Where nodes that no file names were heard from. */
     private final Map<String, InetSocketAddress> learned = new LinkedHashMap<>();
     private volatile boolean started;
@@ -60,6 +70,7 @@
     ClusterPart(ClusterConfig config, String node, String build, Loop coreLoop, Core core, Settings settings,
                 List<String> classNames) throws IOException {
         this.config = config;
+        members = config.members();
         this.node = node;
         this.coreLoop = coreLoop;
         this.core = core;
@@ -67,17 +78,24 @@
         this.classNames = classNames;
         if (config.store() != null) {
             Files.createDirectories(config.store());
-            shelf = new DiskShelf(config.store().resolve("voter-" + NodeConfig.fileKey(node) + ".mv"));
+            shelf = new DiskShelf(config.store().resolve("voter-" + NodeConfig.fileKey(node) + ".mv"),
+                config.storeBytes());
         } else {
             shelf = null;
         }
         Standing standing = new Standing(config.jobs(), this, System::currentTimeMillis, this::run,
             this::tell);
+        Map<String, Duty> duties = new LinkedHashMap<>();
+        standing.names().forEach(name -> duties.put(name, standing));
+        address = config.address() == null ? null : address(config.address());
+        if (address != null) {
+            duties.put(ClusterConfig.ADDRESS, address);
+        }
         Terms terms = new Terms(config.cluster(), node, UUID.randomUUID().toString(),
-            System.currentTimeMillis(),
-            build, config.voters(), standing.names(), config.beat(), config.lease(), config.drift());
+            System.currentTimeMillis(), build, config.voters(), List.copyOf(duties.keySet()), config.beat(),
+            config.lease(), config.drift());
         try {
-            member = new Member(terms, this, shelf, System.nanoTime(), standing, config.plants());
+            member = new Member(terms, this, shelf, System.nanoTime(), Duty.of(duties), config.plants());
             datagrams = new Datagrams(loop, config.listen(), Member.MOST + 1, this::heard);
         } catch (BadMessage e) {
             shelf.close();
@@ -89,26 +107,105 @@
             throw new IOException(config.listen() + ": " + e.getMessage(), e);
         }
         standing.member(member);
+        if (address != null) {
+            address.member(member);
+        }
         if (!config.plants().isEmpty()) {
             LOG.log(Level.SEVERE, "{0} runs with a planted fault, for a drill: {1}",
                 new Object[] {node, config.plants()});
         }
     }
 
+    private Address address(ClusterConfig.Announced its) {
+        return new Address(its.value(), its.refresh(), this, new HttpAnnouncer(its.registry(), config.lease(),
+            loop::execute), (epoch, what) -> LOG.log(Level.INFO, "{0} epoch {1} at {2}: {3}",
+            new Object[] {ClusterConfig.ADDRESS, Long.toString(epoch), node, what}));
+    }
+
     void start() {
         started = true;
         LOG.log(Level.INFO, "{0} is a member of {1} at {2}, {3}", new Object[] {node, config.cluster(),
-            config.listen(), shelf == null ? "and does not vote" : "and votes"});
+            config.listen(), shelf == null ? "and does not vote" : config.voters().contains(node)
+            ? "and votes" : "and can take a voter''s place"});
         loop.start();
-        loop.execute(member::start);
+        loop.execute(() -> {
+            member.start();
+            back();
+        });
     }
 
-    /** Hands over what it owns, as far as others can take it. */
-    void leave() {
+    /** It serves: it is not out any more. Asked until a leader has answered. */
+    private void back() {
+        if (config.outAtOnce() > 0) {
+            member.release(node, config.lease(), answer -> {
+                if (answer == null) {
+                    back();
+                }
+            });
+        }
+    }
+
+    /**
+     * Hands over what it owns, as far as others can take it. Danger: clients who come by the service address
+     * would find nobody, so the node goes on until another has it, for a second at the most.
+     *
+     * @param then is told once it may stop taking clients, on any thread, and whether clients come by that
+     *     address and are sent elsewhere
+     */
+    void leave(Consumer<Boolean> then) {
         if (!started) {
+            then.accept(false);
+            return;
+        }
+        loop.execute(() -> {
+            member.leaves(true);
+            if (config.outAtOnce() > 0) {
+                member.permit(config.outAtOnce(), true, config.lease(), answer -> { });
+            }
+            untilHandedOver(millis() + HANDING_OVER, then);
+        });
+    }
+
+    private void untilHandedOver(long until, Consumer<Boolean> then) {
+        if (address == null) {
+            then.accept(false);
+        } else if (millis() >= until) {
+            LOG.log(Level.WARNING, "{0} ends, and clients may still be sent to it", node);
+            then.accept(false);
+        } else if (member.owns(ClusterConfig.ADDRESS)) {
+            after(HANDING_STEP, () -> untilHandedOver(until, then));
+        } else {
+            address.elsewhere(so -> {
+                if (so) {
+                    then.accept(true);
+                } else {
+                    after(HANDING_STEP, () -> untilHandedOver(until, then));
+                }
+            });
+        }
+    }
+
+    /**
+     * Asks whether this node may be out of service; the answer, why not or null, is told on the core's loop.
+     */
+    void permit(Consumer<String> then) {
+        if (config.outAtOnce() == 0) {
+            then.accept(null);
             return;
         }
-        loop.execute(() -> member.leaves(true));
+        loop.execute(() -> member.permit(config.outAtOnce(), false, ANSWER, answer -> coreLoop.execute(() ->
+            then.accept(answer == null ? "no word of a leader in time, so it may not be out"
+                : answer.done() ? null : answer.why()))));
+    }
+
+    /** It is back in service. */
+    void backInService() {
+        loop.execute(this::back);
+    }
+
+    /** Takes over the addresses of the members. */
+    void reload(ClusterConfig fresh) {
+        loop.execute(() -> members = fresh.members());
     }
 
     /** Ends: others may take over at once, if the word reaches them. */
@@ -136,8 +233,10 @@
     }
 
     /**
-     * What staff ask: nothing in particular, or {@code transfer PIECE NODE}, which wants a piece at a node
-     * until {@code transfer PIECE} takes that back. The answer is told on the core's loop, within a second.
+     * What staff ask: {@code status}, {@code members} or {@code owners}, with {@code json} behind it as JSON;
+     * {@code transfer PIECE NODE}, which wants a piece at a node until {@code transfer PIECE} takes that
+     * back; {@code replace-voter OLD NEW}; {@code permit}; {@code release NODE}. The answer is told on the
+     * core's loop, within a second.
      */
     void call(String about, Consumer<String> to) {
         Consumer<String> back = text -> coreLoop.execute(() -> to.accept(text));
@@ -146,15 +245,26 @@
             to.accept("fail this node does not serve yet, and is no member before it does\n");
             return;
         }
+        Consumer<Register.Answer> told = answer -> back.accept(
+            answer == null ? "fail no word of a leader in time; it may be done or not, so look\n"
+                : answer.done() ? "ok\n" : "fail " + answer.why() + "\n");
+        String what = about.isBlank() ? "status" : words[0];
         loop.execute(() -> {
-            if (about.isBlank()) {
-                back.accept(ClusterText.of(member, node, millis()));
-            } else if (!words[0].equals("transfer") || words.length < 2 || words.length > 3) {
-                back.accept("fail say nothing more, or transfer PIECE NODE\n");
+            if (ClusterView.has(what) && words.length == 1) {
+                back.accept(new ClusterView(member, node, millis()).text(what));
+            } else if (ClusterView.has(what) && words.length == 2 && words[1].equals("json")) {
+                back.accept(new ClusterView(member, node, millis()).json(what));
+            } else if (what.equals("transfer") && (words.length == 2 || words.length == 3)) {
+                member.transfer(words[1], words.length == 3 ? words[2] : "", ANSWER, told);
+            } else if (what.equals("replace-voter") && words.length == 3) {
+                member.replace(words[1], words[2], ANSWER, told);
+            } else if (what.equals("permit") && words.length == 1) {
+                member.permit(Math.max(1, config.outAtOnce()), false, ANSWER, told);
+            } else if (what.equals("release") && words.length == 2) {
+                member.release(words[1], ANSWER, told);
             } else {
-                member.transfer(words[1], words.length == 3 ? words[2] : "", ANSWER, answer -> back.accept(
-                    answer == null ? "fail no word of a leader in time; it may be done or not, so look\n"
-                        : answer.done() ? "ok\n" : "fail " + answer.why() + "\n"));
+                back.accept("fail say status, members or owners (and json), transfer PIECE NODE, "
+                    + "replace-voter OLD NEW, permit, or release NODE\n");
             }
         });
     }
@@ -163,17 +273,17 @@
 
     @Override
     public long millis() {
-        return loop.now() / 1_000;
+        return (long) (loop.now() / 1_000 * config.rate());
     }
 
     @Override
     public void after(long millis, Runnable then) {
-        loop.at(loop.now() + millis * 1_000, then);
+        loop.at(loop.now() + (long) (millis * 1_000 / config.rate()), then);
     }
 
     @Override
     public void send(String to, byte[] message) {
-        InetSocketAddress address = config.members().getOrDefault(to, learned.get(to));
+        InetSocketAddress address = members.getOrDefault(to, learned.get(to));
         if (address != null) {
             datagrams.send(address, message);
         }
@@ -181,7 +291,7 @@
 
     private void heard(InetSocketAddress from, byte[] message) {
         String name = member.heard(message);
-        if (name != null && !config.members().containsKey(name)
+        if (name != null && !members.containsKey(name)
             && (learned.size() < ADDRESSES || learned.containsKey(name))) {
             learned.put(name, from);
         }
--- a/src/main/java/gorserill/program/Lifecycle.java
+++ b/src/main/java/gorserill/program/Lifecycle.java
@@ -128,8 +128,10 @@
      * fair chance, and what comes now is answered before SIGKILL may.
      *
      * @param longest the longest deadline of any class
+     * @param elsewhere whether new connections come to another node by now: then the next answer on each is
+     *     its last. Danger: else a client may send on one just as it is closed
      */
-    void end(long longest) {
+    void end(long longest, boolean elsewhere) {
         if (ending()) {
             return;
         }
@@ -146,7 +148,7 @@
             fronts.forEach(front -> front.welcome(false));
             loop.at(loop.now() + LINGER, stopListening);
         }
-        if (passedSocket && !emptied) {
+        if (passedSocket && !emptied || elsewhere) {
             fronts.forEach(front -> front.intake(Intake.LAST));
         }
         loop.at(emptied ? loop.now() + LINGER : Math.max(loop.now() + LINGER, kill - LAST_JOBS),
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -159,7 +159,7 @@
         }
         if (config.admin != null) {
             AdminFront admin = new AdminFront(loop, new OperatorCalls(life, maintenance, figures,
-                this::contracts, this::reload, cluster == null ? null : cluster::call).byName());
+                this::contracts, this::reload, cluster).byName());
             loop.execute(() -> listenOnceFree("operators", config.admin, () ->
                 transport.listenApart(config.admin, new LineCodec(), admin::accept,
                     NodeConfig.ADMIN_CONNECTIONS)));
@@ -322,6 +322,9 @@
             LOG.log(Level.WARNING, "reload: {0} is changed, which holds from the next start on", key);
         }
         watch.moveTo(fresh.discovery);
+        if (cluster != null && fresh.cluster != null) {
+            cluster.reload(fresh.cluster);
+        }
         if (config.sameClasses(fresh)) {
             gate.replace(fresh.contract);
             if (faktory != null && fresh.faktory != null) {
@@ -335,11 +338,13 @@
 
     /** Answers what is open, takes what still comes for a while, then ends; any thread may call it. */
     void drain() {
+        Consumer<Boolean> end = elsewhere -> loop.execute(() -> life.end(config.settings.classes().stream()
+            .mapToLong(c -> c.deadline()).max().orElse(0), elsewhere));
         if (cluster != null) {
-            cluster.leave();
+            cluster.leave(end);
+        } else {
+            end.accept(false);
         }
-        loop.execute(() -> life.end(config.settings.classes().stream().mapToLong(c -> c.deadline()).max()
-            .orElse(0)));
     }
 
     /** Waits until the node has drained, then lets go of everything. */
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -197,7 +197,8 @@
         changed.put("limits.memory_mb", memory != later.memory);
         changed.put("settings", !values.equals(later.values));
         changed.put("faktory: enabled", (faktory == null) != (later.faktory == null));
-        changed.put("cluster", !Objects.equals(cluster, later.cluster));
+        changed.put("cluster", !Objects.equals(cluster, cluster == null || later.cluster == null
+            ? later.cluster : later.cluster.withMembersOf(cluster)));
         changed.put("faktory: listen", faktory != null && later.faktory != null
             && !faktory.listen().equals(later.faktory.listen()));
         changed.values().removeIf(is -> !is);
--- a/src/main/java/gorserill/program/OperatorCalls.java
+++ b/src/main/java/gorserill/program/OperatorCalls.java
@@ -3,7 +3,6 @@
 import gorserill.protocol.admin.AdminFront;
 import gorserill.protocol.admin.AdminFront.Call;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -15,16 +14,16 @@
 
     private final Supplier<String> contracts;
     private final Consumer<Consumer<String>> reload;
-    private final BiConsumer<String, Consumer<String>> cluster;
+    private final ClusterPart cluster;
 
     /**
      * @param contracts tells of the contracts' versions, a line each
      * @param reload reads the configuration again and tells, on the loop's thread, what is wrong with it, or
      *     null
-     * @param cluster answers what is asked of the cluster, on the loop's thread; null where there is none
+     * @param cluster null where this node is no member of one
      */
     OperatorCalls(Lifecycle life, Maintenance maintenance, Figures figures, Supplier<String> contracts,
-                  Consumer<Consumer<String>> reload, BiConsumer<String, Consumer<String>> cluster) {
+                  Consumer<Consumer<String>> reload, ClusterPart cluster) {
         this.cluster = cluster;
         this.contracts = contracts;
         this.reload = reload;
@@ -42,15 +41,34 @@
                 if (cluster == null) {
                     to.accept(AdminFront.answer(false, "this node is no member of a cluster"));
                 } else {
-                    cluster.accept(about, to);
+                    cluster.call(about, to);
                 }
             }),
             "readyz", about -> AdminFront.answer(life.up(), "it does not serve yet, or no more"),
             "telemetry", about -> figures.text(),
             "exclude", worker -> maintain(worker, true),
             "include", worker -> maintain(worker, false),
-            "evacuate", about -> done(life::evacuate),
-            "activate", about -> done(life::activate));
+            "evacuate", new AdminFront.Later((about, to) -> evacuate(to)),
+            "activate", about -> done(() -> {
+                life.activate();
+                if (cluster != null) {
+                    cluster.backInService();
+                }
+            }));
+    }
+
+    /** Where so many nodes may be out of service and no more, the others are asked first. */
+    private void evacuate(Consumer<String> to) {
+        if (cluster == null) {
+            to.accept(done(life::evacuate));
+            return;
+        }
+        cluster.permit(whyNot -> {
+            if (whyNot == null) {
+                life.evacuate();
+            }
+            to.accept(AdminFront.answer(whyNot == null, whyNot));
+        });
     }
 
     private String maintain(String worker, boolean out) {
--- a/src/main/java/gorserill/program/command/DrillCommand.java
+++ b/src/main/java/gorserill/program/command/DrillCommand.java
@@ -1,7 +1,10 @@
 package gorserill.program.command;
 
+import gorserill.cluster.lab.Explorer;
+import gorserill.cluster.lab.Lab;
 import gorserill.cluster.member.Member;
 import gorserill.program.drill.Drill;
+import gorserill.program.drill.Series;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,6 +13,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.stream.LongStream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -24,13 +28,15 @@
 @Command(name = "drill", mixinStandardHelpOptions = true,
     description = "Starts several nodes on this machine, puts faults between them, and checks the rules.")
 final class DrillCommand implements Callable<Integer> {
-    private static final Set<String> PIECES = Set.of("owner", "standing");
+    private static final Set<String> PIECES = Set.of("owner", "standing", "address", "lab",
+        "explore");
 
     @Spec
     private CommandSpec spec;
 
-    @Parameters(paramLabel = "PIECE", description = "what is drilled: owner (faults of links and stalls) or "
-        + "standing (with kills and restarts)")
+    @Parameters(paramLabel = "PIECE", description = "what is drilled: owner (faults of links and stalls), "
+        + "standing (with kills and restarts), address (the service address, by a proxy), lab (the same "
+        + "members in virtual time), or explore (every run of them with a slip or two)")
     private String piece;
 
     @Option(names = "--nodes", defaultValue = "3", description = "how many, 1 to 9; 3 if not said")
@@ -43,8 +49,24 @@
         "of the faults and their times; 1 if not said")
     private long seed;
 
-    @Option(names = "--faults", split = ",", description = "some of loss, delay, twice, cut, one-way, flap, "
-        + "stall, kill, restart-all, leave, or none; all that belong to the piece if not said")
+    @Option(names = "--seeds", description = "many drills instead, as 1-200: a line each, and their sum")
+    private String seeds;
+
+    @Option(names = "--beside", defaultValue = "4", description = "how many of them at a time; 4 if not said")
+    private int beside;
+
+    @Option(names = "--steps", defaultValue = "100", description = "of explore: steps that may slip; 100 if "
+        + "not said")
+    private int steps;
+
+    @Option(names = "--depth", defaultValue = "2",
+        description = "of explore: slips in a run, 1 or 2; 2 if not "
+        + "said")
+    private int depth;
+
+    @Option(names = "--faults", split = ",", description = "some of loss, delay, twice, cut, one-way, link, "
+        + "flap, stall, kill, restart-all, leave, lose-voter, disk, clock, or none; "
+        + "all that belong to the piece if not said")
     private List<String> faults;
 
     @Option(names = "--plant", defaultValue = "", description = "a fault in the nodes' own rules, which the "
@@ -57,7 +79,12 @@
 
     @Override
     public Integer call() throws Exception {
-        if (!PIECES.contains(piece)) {
+        long[] range = range();
+        if (piece.equals("explore")) {
+            return explore() ? 0 : 1;
+        } else if (piece.equals("lab")) {
+            return lab(range) ? 0 : 1;
+        } else if (!PIECES.contains(piece)) {
             throw wrong("PIECE '" + piece + "' is none of " + PIECES);
         } else if (nodes < 1 || nodes > 9) {
             throw wrong("--nodes " + nodes + " is not from 1 to 9");
@@ -68,7 +95,8 @@
         if (faults == null) {
             kinds.addAll(EnumSet.allOf(Drill.Fault.class));
             if (piece.equals("owner")) {
-                kinds.removeAll(Set.of(Drill.Fault.KILL, Drill.Fault.RESTART_ALL, Drill.Fault.LEAVE));
+                kinds.removeAll(Set.of(Drill.Fault.KILL, Drill.Fault.RESTART_ALL, Drill.Fault.LEAVE,
+                    Drill.Fault.LOSE_VOTER, Drill.Fault.DISK, Drill.Fault.CLOCK));
             }
         } else if (!faults.equals(List.of("none"))) {
             for (String fault : faults) {
@@ -78,7 +106,73 @@
         String planted = plant.isEmpty() ? "" : named(Member.Plant.class, "--plant", plant).name();
         Path folder = report != null ? report : Files.createTempDirectory("gorserill-drill");
         PrintStream out = new PrintStream(System.out, true);
-        return Drill.run(new Drill.Plan(piece, nodes, seconds, seed, kinds, planted, folder), out) ? 0 : 1;
+        Drill.Plan plan = new Drill.Plan(piece, nodes, seconds, seed, kinds, planted, folder);
+        return (seeds == null ? Drill.run(plan, out) : Series.run(plan, range[0], range[1], beside, out))
+            ? 0 : 1;
+    }
+
+    /** The first and the last seed. */
+    private long[] range() {
+        if (seeds == null) {
+            return new long[] {seed, seed};
+        } else if (!seeds.matches("\\d{1,9}-\\d{1,9}") || beside < 1 || beside > 64) {
+            throw wrong("--seeds '" + seeds + "' is not as 1-200, or --beside " + beside
+                + " is not from 1 to 64");
+        }
+        long first = Long.parseLong(seeds.split("-")[0]);
+        long last = Long.parseLong(seeds.split("-")[1]);
+        if (last < first || last - first >= 100_000) {
+            throw wrong("--seeds '" + seeds + "' does not rise, or is of more than 100000");
+        }
+        return new long[] {first, last};
+    }
+
+    private boolean explore() {
+        if (steps < 1 || steps > 2_000 || depth < 1 || depth > 2) {
+            throw wrong("--steps " + steps + " is not from 1 to 2000, or --depth " + depth + " not 1 or 2");
+        }
+        Set<Member.Plant> plants = EnumSet.noneOf(Member.Plant.class);
+        if (!plant.isEmpty()) {
+            plants.add(named(Member.Plant.class, "--plant", plant));
+        }
+        Explorer.Found found = Explorer.run(seed, 0, steps, depth, plants);
+        if (found.violated() != null) {
+            System.out.println(found.violated() + "\n  " + String.join("\n  ", found.outcome().history()));
+        }
+        System.out.println("drill explore seed " + seed + ": " + (found.violated() == null ? "ok"
+            : "violated: "
+            + found.outcome().violation()) + " (" + found.runs() + " runs, " + found.distinct()
+            + " of them distinct, " + found.acts() + " acts)");
+        return found.violated() == null;
+    }
+
+    /** The members in virtual time: quicker by a hundred times, and the same from the same seed. */
+    private boolean lab(long[] range) {
+        if (nodes < 1 || nodes > 200 || seconds < 10 || seconds > 600) {
+            throw wrong("--nodes is from 1 to 200 there, --seconds from 10 to 600");
+        }
+        Set<Lab.Fault> kinds = EnumSet.noneOf(Lab.Fault.class);
+        if (faults == null) {
+            kinds.addAll(EnumSet.allOf(Lab.Fault.class));
+        } else {
+            faults.forEach(fault -> kinds.add(named(Lab.Fault.class, "--faults", fault)));
+        }
+        Set<Member.Plant> plants = EnumSet.noneOf(Member.Plant.class);
+        if (!plant.isEmpty()) {
+            plants.add(named(Member.Plant.class, "--plant", plant));
+        }
+        PrintStream out = System.out;
+        Lab.Sum sum = new Lab.Sum();
+        LongStream.rangeClosed(range[0], range[1]).parallel().forEach(s -> {
+            Lab.Outcome outcome = Lab.run(new Lab.Plan(nodes, nodes >= 5 && nodes % 2 == 1 ? 5
+                : Math.min(3, nodes), seconds, s, kinds, plants));
+            if (sum.add(outcome)) {
+                out.println("drill lab seed " + s + ": violated: " + outcome.violation() + "\n  "
+                    + String.join("\n  ", outcome.history()));
+            }
+        });
+        out.println("drill lab seeds " + range[0] + " to " + range[1] + ": " + sum.text());
+        return sum.violated() == 0;
     }
 
     private <E extends Enum<E>> E named(Class<E> of, String option, String name) {
--- a/src/main/java/gorserill/program/demo/StandIn.java
+++ b/src/main/java/gorserill/program/demo/StandIn.java
@@ -28,7 +28,7 @@
         daemon("accept", this::accept);
     }
 
-    private static void daemon(String what, Runnable run) {
+    static void daemon(String what, Runnable run) {
         Thread thread = new Thread(run, "stand-in " + what);
         thread.setDaemon(true);
         thread.start();
--- a/src/main/java/gorserill/program/drill/Audit.java
+++ b/src/main/java/gorserill/program/drill/Audit.java
@@ -16,6 +16,7 @@
 final class Audit {
     private static final Pattern STANDING =
         Pattern.compile("standing (\\S+) time (\\d+) epoch (\\d+) at (\\S+): (.*)");
+    private static final Pattern ADDRESS = Pattern.compile("address epoch (\\d+) at (\\S+): (.*)");
     private static final Pattern RUN = Pattern.compile("standing-(\\S+?)-(\\d+)(?:-.*)?");
     /** Events that are kept for the report; the history of what was broken is taken from them. */
     private static final int KEPT = 200_000;
@@ -34,6 +35,33 @@
     private int answers;
     private int jobs;
     private int unknown;
+    private final Takeovers takeovers = new Takeovers();
+    private final List<Map.Entry<String, Long>> announced = new ArrayList<>();
+    private double cpu;
+    private double held;
+
+    /** An address was taken by the registry. */
+    synchronized void announced(String value, long epoch) {
+        announced.add(Map.entry(value, epoch));
+    }
+
+    /**
+     * What the processes that live used: CPU as a part of a core, and memory in MB, of the one that has most.
+     */
+    synchronized void used(List<NodeProcess> nodes, long seconds) {
+        for (NodeProcess node : nodes) {
+            if (node.process != null && node.alive()) {
+                double[] its = node.used();
+                cpu = Math.max(cpu, its[0] / seconds);
+                held = Math.max(held, its[1]);
+            }
+        }
+    }
+
+    /** A node is about to end as planned. */
+    synchronized void byPlan(String node) {
+        takeovers.fault(node, now(), Takeovers.Cause.PLAN);
+    }
 
     synchronized void event(String where, String what) {
         if (events.size() < KEPT) {
@@ -48,6 +76,9 @@
     synchronized void fault(String kind, String where, String what) {
         faults.merge(kind, 1, Integer::sum);
         event(where, "fault: " + what);
+        if (!kind.equals("leave")) {
+            takeovers.fault(where, now(), Takeovers.Cause.FAULT);
+        }
     }
 
     synchronized void violated(String subject, String what) {
@@ -78,23 +109,36 @@
         if (line.contains("SEVERE") && !line.contains("planted fault")) {
             violated(node, "a node says SEVERE: " + line);
         } else if (!standing.find()) {
+            Matcher address = ADDRESS.matcher(line);
+            if (address.find()) {
+                event(node, "address 0 epoch " + address.group(1) + ": " + address.group(3));
+                owned("address", address.group(1), node, process, address.group(3));
+            }
             return;
         }
         String job = standing.group(1);
         long number = Long.parseLong(standing.group(2));
         String what = standing.group(5);
         event(node, job + " " + number + " epoch " + standing.group(3) + ": " + what);
-        if (what.startsWith("owned from")) {
+        owned(job, standing.group(3), node, process, what);
+        if (what.startsWith("claimed")) {
+            claims.computeIfAbsent(job, j -> new TreeMap<>()).put(number, now());
+        } else if (what.startsWith("may have run")) {
+            unknown++;
+        }
+    }
+
+    private void owned(String piece, String epoch, String node, int process, String what) {
+        if (what.startsWith("owned no more")) {
+            takeovers.letGo(piece, node, now());
+        } else if (what.startsWith("owned from")) {
+            takeovers.owned(piece, node, now());
             String owner = node + ", process " + process;
-            String before = epochs.putIfAbsent(job + " epoch " + standing.group(3), owner);
+            String before = epochs.putIfAbsent(piece + " epoch " + epoch, owner);
             if (before != null && !before.equals(owner)) {
-                violated(job, "epoch " + standing.group(3) + " of " + job + " went to " + before + " and to "
+                violated(piece, "epoch " + epoch + " of " + piece + " went to " + before + " and to "
                     + owner);
             }
-        } else if (what.startsWith("claimed")) {
-            claims.computeIfAbsent(job, j -> new TreeMap<>()).put(number, now());
-        } else if (what.startsWith("may have run")) {
-            unknown++;
         }
     }
 
@@ -111,25 +155,47 @@
      *
      * @param until times up to then count, Unix milliseconds
      * @param every milliseconds from time to time of each job
+     * @param byAddress nodes by their clients' addresses
      */
-    synchronized void end(List<String> names, long until, long every) {
+    synchronized void end(List<String> names, long until, long every, Map<String, String> byAddress) {
+        for (Map.Entry<String, Long> one : announced) {
+            String owner = epochs.getOrDefault("address epoch " + one.getValue(), "nobody");
+            if (!owner.startsWith(byAddress.get(one.getKey()) + ",")) {
+                violated("address", one.getKey() + " was announced under epoch " + one.getValue()
+                    + ", which is "
+                    + owner + "'s");
+            }
+        }
         for (String job : names) {
             TreeMap<Long, Long> claimed = claims.get(job);
             if (claimed == null) {
                 violated(job, job + " was never fired");
                 continue;
             }
-            for (long number = claimed.firstKey(); number * every < until
-                && job.startsWith("keyed"); number++) {
-                if (!runs.containsKey(job + " time " + number * every)) {
-                    violated(job, job + " time " + number + " (" + number * every + ") was never run, though "
-                        + "missed times are to be made up for");
-                    break;
-                }
+            long missing = missing(job, claimed, until, every);
+            if (missing > 0) {
+                violated(job, job + " time " + missing + " (" + missing * every + ") was never run, though "
+                    + "missed times are to be made up for");
             }
         }
     }
 
+    /** The first time of a job that may be made up for and was not; 0 where there is none. */
+    private long missing(String job, TreeMap<Long, Long> claimed, long until, long every) {
+        for (long number = claimed.firstKey(); number * every < until && job.startsWith("keyed"); number++) {
+            if (!runs.containsKey(job + " time " + number * every)) {
+                return number;
+            }
+        }
+        return 0;
+    }
+
+    /** Whether each missed time up to then was made up for. */
+    synchronized boolean madeUp(List<String> names, long until, long every) {
+        return names.stream().allMatch(job -> claims.containsKey(job)
+            && missing(job, claims.get(job), until, every) == 0);
+    }
+
     /** The longest time between two claims of one job, milliseconds. */
     synchronized long longestGap() {
         long longest = 0;
@@ -142,6 +208,10 @@
         return longest;
     }
 
+    Takeovers takeovers() {
+        return takeovers;
+    }
+
     synchronized String violation() {
         return violation;
     }
@@ -160,7 +230,7 @@
     synchronized String counts() {
         return "jobs " + jobs + ", answers " + answers + ", acts " + runs.size() + ", owners " + epochs.size()
             + ", may have run " + unknown + ", faults " + faults + ", longest time between acts "
-            + longestGap()
-            + " ms";
+            + longestGap() + " ms, " + takeovers.text() + ", announced " + announced.size()
+            + ", a node's most: %.3f of a core, %.0f MB".formatted(cpu, held);
     }
 }
--- a/src/main/java/gorserill/program/drill/Drill.java
+++ b/src/main/java/gorserill/program/drill/Drill.java
@@ -1,18 +1,17 @@
 package gorserill.program.drill;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import gorserill.program.demo.StandInDiscovery;
+import gorserill.program.demo.StandInRegistry;
 import gorserill.program.demo.StandInWorker;
 import gorserill.program.demo.StandInWorker.Kind;
 import gorserill.program.demo.StandInWorker.Reaction;
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InputStreamReader;
 import java.io.PrintStream;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -27,6 +26,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * One drill: processes of the program, links between them, faults from the seed, and an auditor. The standing
@@ -34,7 +35,17 @@
  */
 public final class Drill {
     /** What can be done to the nodes and the links. */
-    public enum Fault { LOSS, DELAY, TWICE, CUT, ONE_WAY, FLAP, STALL, KILL, RESTART_ALL, LEAVE }
+    public enum Fault {
+        LOSS, DELAY, TWICE, CUT, ONE_WAY, LINK, FLAP, STALL, KILL, RESTART_ALL,
+        /** A planned end, asked for first, and a new start. */
+        LEAVE,
+        /** A voter comes back with an empty disk, and is replaced by command. */
+        LOSE_VOTER,
+        /** A voter's store has no room any more, and then has. */
+        DISK,
+        /** A node's clock goes faster or slower than the others'. */
+        CLOCK
+    }
 
     /**
      * What is asked for.
@@ -53,105 +64,47 @@
     /** Without faults at the end, so that what was missed can be made up for; milliseconds. */
     private static final long CALM = 12_000;
     private static final int START = 20_000;
+    private static final long CATCHING_UP = 20_000;
+    private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Plan plan;
     private final PrintStream out;
     private final Audit audit = new Audit();
     private final SplittableRandom random;
-    private final List<Node> nodes = new ArrayList<>();
+    private final List<NodeProcess> nodes = new ArrayList<>();
     private Links links;
+    private StandInRegistry registry;
+    private String last = "";
+    private final AtomicInteger outByPermit = new AtomicInteger();
+    private final AtomicBoolean losing = new AtomicBoolean();
     private volatile boolean over;
 
-    /** A node and its present process. */
-    private final class Node {
-        final int index;
-        final String name;
-        final int clients = free();
-        final int wire = freeDatagram();
-        final Path folder;
-        Process process;
-        int number;
-        volatile long troubledUntil;
-
-        Node(int index) throws IOException {
-            this.index = index;
-            name = "n" + index;
-            folder = Files.createDirectories(plan.report.resolve(name));
-        }
-
-        /** Danger: started while an old process holds its store, a node would end at once. */
-        void start() throws IOException {
-            number++;
-            int its = number;
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java")
-                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx40m", "-cp",
-                System.getProperty("java.class.path"), "gorserill.program.Main", "serve");
-            builder.environment().putAll(java.util.Map.of("NODE_CONFIG",
-                folder.resolve("node.json").toString(),
-                "GORSERILL_CLUSTER", folder.resolve("cluster.json").toString(), "GORSERILL_FAKTORY", "none",
-                "TMPDIR", folder.toString()));
-            process = builder.redirectErrorStream(true).start();
-            Process running = process;
-            Thread reader = new Thread(() -> read(running, its), "log of " + name);
-            reader.setDaemon(true);
-            reader.start();
-        }
-
-        private void read(Process running, int its) {
-            Path log = folder.resolve("log-" + its + ".txt");
-            try (BufferedReader lines = new BufferedReader(new InputStreamReader(running.getInputStream(),
-                StandardCharsets.UTF_8)); var to = Files.newBufferedWriter(log)) {
-                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                    to.write(line + "\n");
-                    to.flush();
-                    audit.line(name, its, line);
-                }
-            } catch (IOException e) {
-                // The process has ended.
-            }
-        }
-
-        void signal(String which) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + which, Long.toString(process.pid())).start().waitFor();
-        }
-
-        void kill() throws InterruptedException {
-            process.destroyForcibly().waitFor();
-        }
-
-        /** Its clients may have to wait, or find nobody, until then. */
-        void troubled(long millis) {
-            troubledUntil = System.currentTimeMillis() + millis;
-        }
-    }
-
     private Drill(Plan plan, PrintStream out) {
         this.plan = plan;
         this.out = out;
         random = new SplittableRandom(plan.seed);
     }
 
-    /** Runs it; gives whether nothing was violated. */
-    public static boolean run(Plan plan, PrintStream out) throws IOException, InterruptedException {
-        return new Drill(plan, out).run();
-    }
+    /** What came of a drill, and its figures. */
+    record Result(boolean ok, String last, Audit audit) { }
 
-    private static int free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
+    static Result result(Plan plan, PrintStream out) throws IOException, InterruptedException {
+        Drill drill = new Drill(plan, out);
+        boolean ok = drill.run();
+        return new Result(ok, drill.last, drill.audit);
     }
 
-    private static int freeDatagram() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
+    /** Runs it; gives whether nothing was violated. */
+    public static boolean run(Plan plan, PrintStream out) throws IOException, InterruptedException {
+        return new Drill(plan, out).run();
     }
 
     private boolean run() throws IOException, InterruptedException {
         Files.createDirectories(plan.report);
         List<StandInWorker> workers = new ArrayList<>();
-        try (StandInDiscovery discovery = new StandInDiscovery()) {
+        try (StandInDiscovery discovery = new StandInDiscovery();
+             StandInRegistry entry = new StandInRegistry(audit::announced)) {
+            registry = entry;
             for (int w = 0; w < WORKERS; w++) {
                 String name = "w" + w;
                 workers.add(new StandInWorker(name, new ConcurrentHashMap<>(), job -> {
@@ -161,12 +114,12 @@
             }
             discovery.list(workers);
             for (int i = 0; i < plan.nodes; i++) {
-                nodes.add(new Node(i));
+                nodes.add(new NodeProcess(i, plan.report, audit));
             }
             links = new Links(nodes.stream().map(n ->
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), n.wire))
                 .toList(), plan.seed);
-            for (Node node : nodes) {
+            for (NodeProcess node : nodes) {
                 write(node, discovery, workers);
                 node.start();
             }
@@ -175,11 +128,8 @@
             play();
         } finally {
             over = true;
-            for (Node node : nodes) {
-                if (node.process != null) {
-                    node.process.destroyForcibly();
-                }
-            }
+            audit.used(nodes, plan.seconds);
+            nodes.forEach(NodeProcess::end);
             if (links != null) {
                 links.close();
             }
@@ -190,20 +140,20 @@
         return tell();
     }
 
-    private void write(Node node, StandInDiscovery discovery, List<StandInWorker> workers)
+    private void write(NodeProcess node, StandInDiscovery discovery, List<StandInWorker> workers)
         throws IOException {
         try (InputStream text = Drill.class.getResourceAsStream("/gorserill/program/demo.json")) {
             Files.writeString(node.folder.resolve("node.json"), new String(text.readAllBytes(),
                 StandardCharsets.UTF_8).replace("\"demo\"", "\"" + node.name + "\"")
-                .replace("CLIENTS", "" + node.clients).replace("\"admin_addr\": \"127.0.0.1:OPERATORS\",", "")
+                .replace("CLIENTS", "" + node.clients).replace("OPERATORS", "" + node.operators)
                 .replace("DISCOVERY", "" + discovery.address().getPort())
                 .replace("\"instances\": 1", "\"instances\": " + plan.nodes)
                 .replace("\"endpoints\": []", "\"endpoints\": [" + StandInDiscovery.entries(workers) + "]"));
         }
         StringBuilder members = new StringBuilder();
         StringBuilder voters = new StringBuilder();
-        int voting = plan.nodes >= 5 ? 5 : plan.nodes >= 3 ? 3 : 1;
-        for (Node other : nodes) {
+        int voting = voting();
+        for (NodeProcess other : nodes) {
             InetSocketAddress at = other == node ? new InetSocketAddress("127.0.0.1", node.wire)
                 : links.relay(node.index, other.index);
             members.append(members.length() > 0 ? ", " : "").append('"').append(other.name)
@@ -219,16 +169,27 @@
                 .append(EVERY)
                 .append(", \"missed\": \"all\", \"body\": \"").append(job).append("\"}");
         }
+        String address = !plan.piece.equals("address") ? "" : """
+            "address": {"registry": "http://127.0.0.1:%d/entry", "value": "127.0.0.1:%d", "refresh_ms": 300},
+            """.formatted(registry.address().getPort(), node.clients);
         Files.writeString(node.folder.resolve("cluster.json"), """
             {"enabled": true, "cluster": "drill", "listen": "127.0.0.1:%d", "members": {%s}, "voters": [%s],
-             "store": "%s", "beat_ms": %d, "lease_ms": %d, "plant": "%s", "standing": {%s}}
-            """.formatted(node.wire, members, voters, node.folder, BEAT, LEASE, plan.plant, jobs));
+             "store": "%s", "beat_ms": %d, "lease_ms": %d, "plant": "%s", "out_at_once": 1, %s
+             "standing": {%s}, "store_kb": 65536, "clock_percent": 100}
+            """.formatted(node.wire, members, voters, node.folder, BEAT, LEASE, plan.plant, address, jobs));
+    }
+
+    /** Changes a figure of a node's file, which holds from its next start on. */
+    private static void set(NodeProcess node, String key, long value) throws IOException {
+        Path file = node.folder.resolve("cluster.json");
+        Files.writeString(file, Files.readString(file).replaceAll("\"" + key + "\": \\d+", "\"" + key
+            + "\": " + value));
     }
 
     private void awaitReady() throws IOException, InterruptedException {
         long until = System.currentTimeMillis() + START;
-        for (Node node : nodes) {
-            while (!answers(node)) {
+        for (NodeProcess node : nodes) {
+            while (!answers(node) || plan.piece.equals("address") && registry.value() == null) {
                 if (System.currentTimeMillis() > until || !node.process.isAlive()) {
                     throw new IOException(node.name + " did not become ready; its log is in " + node.folder);
                 }
@@ -237,7 +198,7 @@
         }
     }
 
-    private boolean answers(Node node) {
+    private boolean answers(NodeProcess node) {
         try {
             return http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.clients
                 + "/healthz")).timeout(Duration.ofSeconds(1)).build(), HttpResponse.BodyHandlers.ofString())
@@ -254,7 +215,7 @@
 
     private void play() throws IOException, InterruptedException {
         List<Thread> clients = new ArrayList<>();
-        for (Node node : nodes) {
+        for (NodeProcess node : nodes) {
             Thread client = new Thread(() -> press(node), "client of " + node.name);
             client.setDaemon(true);
             client.start();
@@ -282,24 +243,38 @@
             }
             Thread.sleep(20);
         }
-        audit.end(JOBS, end - 2 * LEASE, EVERY);
+        // What was missed may still be made up for, one after another: waited for, but not for ever.
+        long until = System.currentTimeMillis() + CATCHING_UP;
+        while (!audit.madeUp(JOBS, end - 2 * LEASE, EVERY) && System.currentTimeMillis() < until
+            && audit.violation() == null) {
+            Thread.sleep(100);
+        }
+        audit.end(JOBS, end - 2 * LEASE, EVERY, nodes.stream().collect(java.util.stream.Collectors.toMap(
+            node -> "127.0.0.1:" + node.clients, node -> node.name)));
         over = true;
     }
 
-    private void press(Node node) {
+    private void press(NodeProcess node) {
+        boolean byProxy = plan.piece.equals("address");
         for (int i = 0; !over; i++) {
             long asked = System.currentTimeMillis();
             audit.asked();
             try {
-                http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.clients + "/estado"))
+                http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + (byProxy
+                    ? registry.entry().getPort() : node.clients) + "/estado"))
                     .header("X-Txn", node.name + "-" + i + "-" + asked).timeout(Duration.ofSeconds(6))
                     .POST(HttpRequest.BodyPublishers.ofString("x")).build(),
                     HttpResponse.BodyHandlers.ofString());
                 audit.answered();
                 Thread.sleep(40);
             } catch (IOException e) {
-                if (asked > node.troubledUntil && System.currentTimeMillis() > node.troubledUntil && !over
-                    && node.process.isAlive()) {
+                if (byProxy && !over && registry.value() != null && Set.of(Fault.LEAVE).containsAll(
+                    plan.faults)) {
+                    audit.violated("address",
+                        "a client who came by the service address got no answer, though "
+                        + "all ends were planned: " + e);
+                } else if (!byProxy && asked > node.troubledUntil && System.currentTimeMillis()
+                    > node.troubledUntil && !over && node.alive()) {
                     audit.violated(node.name, "a client of " + node.name
                         + ", which lived and was left alone, got "
                         + "no answer: " + e);
@@ -324,7 +299,7 @@
     private void trouble(long left) throws IOException, InterruptedException {
         List<Fault> kinds = List.copyOf(plan.faults);
         Fault fault = kinds.get(random.nextInt(kinds.size()));
-        Node node = nodes.get(random.nextInt(nodes.size()));
+        NodeProcess node = nodes.get(random.nextInt(nodes.size()));
         long length = Math.min(left, 200 + random.nextInt(random.nextInt(6) == 0 ? 8_000 : 2_500));
         audit.fault(fault.name().toLowerCase(java.util.Locale.ROOT), node.name,
             fault + " for " + length + " ms");
@@ -341,7 +316,7 @@
             }, length);
             case CUT -> links(node, way -> way.cutUntil = until, way -> { }, length);
             case ONE_WAY -> {
-                for (Node other : nodes) {
+                for (NodeProcess other : nodes) {
                     if (other != node) {
                         links.way(other.index, node.index).cutUntil = until;
                     }
@@ -353,10 +328,20 @@
                     Thread.sleep(300);
                 }
             });
+            case LINK -> {
+                NodeProcess other = nodes.get((node.index + 1 + random.nextInt(nodes.size())) % nodes.size());
+                if (other != node) {
+                    links.way(node.index, other.index).cutUntil = until;
+                    links.way(other.index, node.index).cutUntil = until;
+                }
+            }
             case STALL -> stall(node, length);
+            case LOSE_VOTER -> loseVoter(node);
+            case DISK -> again(node, length, "store_kb", Math.max(16, size(node) / 1_024 + 8), 65_536);
+            case CLOCK -> again(node, length, "clock_percent", random.nextBoolean() ? 98 : 102, 100);
             case KILL -> kill(node, length);
             case RESTART_ALL -> {
-                for (Node each : nodes) {
+                for (NodeProcess each : nodes) {
                     kill(each, random.nextInt(1_000));
                 }
             }
@@ -369,7 +354,7 @@
         void run() throws IOException, InterruptedException;
     }
 
-    private final Set<Node> busy = ConcurrentHashMap.newKeySet();
+    private final Set<NodeProcess> busy = ConcurrentHashMap.newKeySet();
 
     private void inBackground(Step step) {
         Thread thread = new Thread(() -> {
@@ -386,8 +371,9 @@
     }
 
     /** One thing at a time is done to a node's process. */
-    private void toProcess(Node node, long troubled, Step step) {
-        if (busy.add(node)) {
+    private boolean toProcess(NodeProcess node, long troubled, Step step) {
+        boolean free = busy.add(node);
+        if (free) {
             node.troubled(troubled);
             inBackground(() -> {
                 try {
@@ -397,11 +383,12 @@
                 }
             });
         }
+        return free;
     }
 
-    private void links(Node node, java.util.function.Consumer<Links.Way> harm,
+    private void links(NodeProcess node, java.util.function.Consumer<Links.Way> harm,
                        java.util.function.Consumer<Links.Way> mend, long length) {
-        for (Node other : nodes) {
+        for (NodeProcess other : nodes) {
             if (other != node) {
                 harm.accept(links.way(node.index, other.index));
                 harm.accept(links.way(other.index, node.index));
@@ -410,7 +397,7 @@
         if (length > 0) {
             inBackground(() -> {
                 Thread.sleep(length);
-                for (Node other : nodes) {
+                for (NodeProcess other : nodes) {
                     if (other != node) {
                         mend.accept(links.way(node.index, other.index));
                         mend.accept(links.way(other.index, node.index));
@@ -420,7 +407,7 @@
         }
     }
 
-    private void stall(Node node, long length) {
+    private void stall(NodeProcess node, long length) {
         toProcess(node, length + 3_000, () -> {
             node.signal("STOP");
             Thread.sleep(length);
@@ -428,7 +415,7 @@
         });
     }
 
-    private void kill(Node node, long length) {
+    private void kill(NodeProcess node, long length) {
         toProcess(node, Long.MAX_VALUE / 2, () -> {
             node.kill();
             Thread.sleep(length);
@@ -437,7 +424,7 @@
     }
 
     /** Its clients are owed answers again once it says that it serves, which must not take for ever. */
-    private void startAgain(Node node) throws IOException, InterruptedException {
+    private void startAgain(NodeProcess node) throws IOException, InterruptedException {
         if (!over) {
             node.start();
             long until = System.currentTimeMillis() + START;
@@ -453,18 +440,118 @@
         }
     }
 
-    /** A planned end and a new start, as an upgrade has it. */
-    private void leave(Node node) {
-        toProcess(node, Long.MAX_VALUE / 2, () -> {
+    /** A planned end and a new start, as an upgrade has it: only one at a time is let go. */
+    private void leave(NodeProcess node) {
+        toProcess(node, 0, () -> {
+            String answer = node.call("cluster permit");
+            if (!"ok".equals(answer)) {
+                audit.event(node.name, "may not leave: " + answer);
+                return;
+            }
+            node.troubled(Long.MAX_VALUE / 2);
+            if (outByPermit.incrementAndGet() > 1) {
+                audit.violated(node.name, node.name + " was let go while another was out by permit");
+            }
+            audit.byPlan(node.name);
             node.signal("TERM");
             if (!node.process.waitFor(12, TimeUnit.SECONDS)) {
                 audit.violated(node.name, node.name + " did not end within 12 s of SIGTERM");
-            } else {
-                startAgain(node);
+                return;
             }
+            outByPermit.decrementAndGet();
+            startAgain(node);
+        });
+    }
+
+    /**
+     * Its disk is gone; an operator has it replaced by itself, and nothing more is lost until that is done.
+     */
+    private void loseVoter(NodeProcess node) {
+        String before = votesAs(node);
+        if (before == null || !losing.compareAndSet(false, true)) {
+            return;
+        }
+        boolean begun = toProcess(node, Long.MAX_VALUE / 2, () -> {
+            node.kill();
+            Files.deleteIfExists(store(node));
+            startAgain(node);
+            inBackground(() -> replace(node, before));
+        });
+        if (!begun) {
+            losing.set(false);
+        }
+    }
+
+    private void replace(NodeProcess node, String before) throws InterruptedException {
+        for (String now = votesAs(node); !over && (now == null || now.equals(before)); now = votesAs(node)) {
+            String own = node.call("cluster");
+            if (own != null && own.contains("it_must_be_replaced")) {
+                NodeProcess asked = nodes.get((node.index + 1) % nodes.size());
+                audit.event(asked.name, "replace-voter " + node.name + ": "
+                    + asked.call("cluster replace-voter " + node.name + " " + node.name));
+            }
+            Thread.sleep(500);
+        }
+        audit.event("drill", node.name + " votes again");
+        losing.set(false);
+    }
+
+    /** The name that a node votes under, by the leader's word; null where not all voters are whole. */
+    private String votesAs(NodeProcess node) {
+        for (NodeProcess each : nodes) {
+            String text = each.call("cluster members json");
+            try {
+                JsonNode rows = text == null || text.startsWith("fail") ? null : JSON.readTree(text)
+                    .path("voter");
+                if (rows != null && rows.size() == voting() && !rows.get(0).has("as_of")) {
+                    String found = null;
+                    for (JsonNode row : rows) {
+                        String name = row.path("name").asText();
+                        if (!row.path("votes").asBoolean()) {
+                            return null;
+                        } else if (name.equals(node.name) || name.startsWith(node.name + "#")) {
+                            found = name;
+                        }
+                    }
+                    return found;
+                }
+            } catch (IOException e) {
+                audit.violated(each.name, each.name + " tells of its members what is no JSON: " + text);
+            }
+        }
+        return null;
+    }
+
+    private Path store(NodeProcess node) throws IOException {
+        try (var files = Files.list(node.folder)) {
+            return files.filter(f -> f.getFileName().toString().startsWith("voter-")).findFirst()
+                .orElse(node.folder.resolve("voter-none"));
+        }
+    }
+
+    private long size(NodeProcess node) throws IOException {
+        Path store = store(node);
+        return Files.exists(store) ? Files.size(store) : 0;
+    }
+
+    /** Started anew with another figure in its file, and after a while with the first one. */
+    private void again(NodeProcess node, long length, String key, long value, long otherwise) {
+        toProcess(node, Long.MAX_VALUE / 2, () -> {
+            set(node, key, value);
+            node.kill();
+            startAgain(node);
+            Thread.sleep(length);
+            node.troubled(Long.MAX_VALUE / 2);
+            set(node, key, otherwise);
+            node.kill();
+            startAgain(node);
         });
     }
 
+    private int voting() {
+        return plan.nodes >= 5 ? 5 : plan.nodes >= 3 ? 3 : 1;
+    }
+
     private boolean tell() throws IOException {
         String violation = audit.violation();
         Report.write(plan, audit, links);
@@ -473,9 +560,10 @@
                 out.println(e.at() + " ms " + e.where() + ": " + e.what()));
         }
         out.println("report: " + plan.report.resolve("report.html"));
-        out.println("drill " + plan.piece + " seed " + plan.seed + ": "
+        last = "drill " + plan.piece + " seed " + plan.seed + ": "
             + (violation == null ? "ok" : "violated: " + violation) + " (" + audit.counts() + ", "
-            + links.passed.get() + " messages, " + links.lost.get() + " lost)");
+            + links.passed.get() + " messages, " + links.lost.get() + " lost)";
+        out.println(last);
         return violation == null;
     }
 }
--- a/src/main/java/gorserill/program/drill/Links.java
+++ b/src/main/java/gorserill/program/drill/Links.java
@@ -118,7 +118,7 @@
                         return null;
                     }, wait * (i + 1), TimeUnit.MILLISECONDS);
                 }
-            } catch (IOException e) {
+            } catch (IOException | java.util.concurrent.RejectedExecutionException e) {
                 // The end, or a node that is not there at present: its datagrams are lost.
             }
         }
--- a/src/test/java/gorserill/cluster/BadInputTest.java
+++ b/src/test/java/gorserill/cluster/BadInputTest.java
@@ -97,6 +97,10 @@
             + "\"cluster\":\"c\",\"from\":\"n1\"}");
         real.add("{\"kind\":\"view\",\"at\":1,\"as_of\":9,\"life\":3,\"pieces\":[{}],"
             + "\"cluster\":\"c\",\"from\":\"n1\"}");
+        real.add("{\"kind\":\"by\",\"to\":\"\",\"message\":{\"kind\":\"renew\",\"cluster\":\"c\"},"
+            + "\"cluster\":\"c\",\"from\":\"n1\"}");
+        real.add("{\"kind\":\"seat\",\"seat\":{\"voter\":\"n0#3\",\"first\":[],\"since\":4},"
+            + "\"cluster\":\"c\",\"from\":\"n1\"}");
         real.add("{\"kind\":\"ask\",\"id\":1,\"entry\":\"{}\",\"cluster\":\"c\",\"from\":\"n1\"}");
         for (int i = 0; i < 20_000; i++) {
             byte[] bytes = real.get(random.nextInt(real.size())).getBytes(StandardCharsets.UTF_8);
@@ -114,21 +118,36 @@
         assertTrue(member.dropped().get("another cluster's") > 0);
     }
 
+    @Test
+    public void aStoreOverItsBoundFailsAtAFlushAndNamesTheBound() throws IOException {
+        Path file = Files.createTempDirectory("shelf").resolve("voter.mv");
+        try (DiskShelf shelf = new DiskShelf(file, 64 << 10)) {
+            IOException full = expectThrows(IOException.class, () -> {
+                for (int i = 0; i < 1_000; i++) {
+                    shelf.put("log/" + i, Integer.toString(i).repeat(500));
+                    shelf.flush();
+                }
+            });
+            assertTrue(full.getMessage().contains("store_kb"), full.getMessage());
+            assertTrue(Files.size(file) < 256 << 10, "it stays near its bound: " + Files.size(file));
+        }
+    }
+
     @Test
     public void aStoreThatCanNotBeReadNamesItsFileAndKey() throws IOException {
         Path file = Files.createTempDirectory("shelf").resolve("voter.mv");
-        DiskShelf shelf = new DiskShelf(file);
+        DiskShelf shelf = new DiskShelf(file, 1 << 20);
         shelf.put("term", "{\"term\":3}");
         shelf.flush();
         shelf.put("term", "lost");
         shelf.close();
-        DiskShelf again = new DiskShelf(file);
+        DiskShelf again = new DiskShelf(file, 1 << 20);
         assertEquals(again.all().get("term"), "{\"term\":3}", "what was flushed is there, and nothing more");
-        IOException used = expectThrows(IOException.class, () -> new DiskShelf(file));
+        IOException used = expectThrows(IOException.class, () -> new DiskShelf(file, 1 << 20));
         assertTrue(used.getMessage().contains(file.toString()), used.getMessage());
         again.close();
         Files.writeString(file, "this is no store at all, but a text that is long enough to be looked at");
-        IOException spoilt = expectThrows(IOException.class, () -> new DiskShelf(file));
+        IOException spoilt = expectThrows(IOException.class, () -> new DiskShelf(file, 1 << 20));
         assertTrue(spoilt.getMessage().contains(file.toString()), spoilt.getMessage());
         Alone alone = new Alone();
         alone.texts.put("endpoint", "{\"name\":\"n0\",\"voting\":true}");
--- a/src/test/java/gorserill/cluster/LabTest.java
+++ b/src/test/java/gorserill/cluster/LabTest.java
@@ -2,9 +2,11 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import gorserill.cluster.lab.Explorer;
 import gorserill.cluster.lab.Lab;
 import gorserill.cluster.lab.Lab.Fault;
 import gorserill.cluster.lab.Lab.Outcome;
@@ -32,6 +34,7 @@
         return new Object[][] {{3, 400, ALL}, {5, 60, ALL}, {9, 20, ALL},
             {1, 20, EnumSet.of(Fault.CRASH, Fault.STALL)},
             {3, 60, EnumSet.of(Fault.FORGET, Fault.CUT, Fault.CRASH)},
+            {6, 60, EnumSet.of(Fault.FORGET, Fault.MOVE, Fault.CRASH, Fault.CUT)},
             {3, 60, EnumSet.of(Fault.STALL, Fault.DRIFT)}};
     }
 
@@ -46,6 +49,23 @@
         assertTrue(outcomes.stream().mapToInt(Outcome::acts).sum() > 100 * seeds, "acts were done");
     }
 
+    /** A voter that lost its disk, or is to go, is replaced by command in nearly every run. */
+    @Test
+    public void lostVotersAreReplaced() {
+        List<Outcome> outcomes = runs(4, 20, EnumSet.of(Fault.FORGET, Fault.MOVE), Set.of());
+        assertTrue(outcomes.stream().mapToInt(Outcome::replaced).sum() > 40, "" + outcomes.stream()
+            .map(Outcome::replaced).toList());
+    }
+
+    /** A link that is cut ends few lives, since what can't go straight goes by another voter. */
+    @Test
+    public void aDetourSparesMostLives() {
+        Set<Fault> link = EnumSet.of(Fault.LINK);
+        int with = runs(9, 20, link, Set.of()).stream().mapToInt(Outcome::lives).sum();
+        int without = runs(9, 20, link, Set.of(Plant.NO_DETOUR)).stream().mapToInt(Outcome::lives).sum();
+        assertTrue(without > 20 && 3 * with < without, with + " of " + without);
+    }
+
     @Test
     public void theSameSeedGivesTheSameRunToTheByte() {
         Plan plan = new Plan(3, 3, 20, 11, ALL, Set.of());
@@ -54,6 +74,17 @@
         assertNotEquals(Lab.run(new Plan(3, 3, 20, 12, ALL, Set.of())).fingerprint(), first.fingerprint());
     }
 
+    /** Each step of a settled cluster of three is lost, late, stalled or the process's last, by itself. */
+    @Test
+    public void noSlipAtAnyStepBreaksARule() {
+        Explorer.Found found = Explorer.run(1, 0, 120, 1, Set.of());
+        assertNull(found.violated(), found.violated() == null ? "" : found.violated() + " "
+            + found.outcome().violation());
+        assertTrue(found.distinct() > 150 && found.acts() > 20_000, found + "");
+        assertNotNull(Explorer.run(1, 0, 30, 1, Set.of(Plant.CLAIM_SKIPPED)).violated());
+        assertNotNull(Explorer.run(1, 0, 30, 1, Set.of(Plant.OWNER_THAT_DOES_NOT_CHECK)).violated());
+    }
+
     @DataProvider
     public Object[][] plants() {
         Set<Fault> forget = EnumSet.of(Fault.FORGET, Fault.CUT);
--- a/src/test/java/gorserill/cluster/RegisterProperties.java
+++ b/src/test/java/gorserill/cluster/RegisterProperties.java
@@ -47,8 +47,8 @@
     @Property(tries = 300, seed = "5")
     void whatIsPromisedHoldsAfterEachEntry(@ForAll long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Register register = new Register(false);
-        Register copy = new Register(false);
+        Register register = new Register(Set.of());
+        Register copy = new Register(Set.of());
         Map<String, Long> epochs = new HashMap<>();
         Map<String, String> owners = new HashMap<>();
         Set<String> claimed = new HashSet<>();
@@ -61,7 +61,7 @@
             assertEquals(answer, copy.apply(i, Register.text(entry)), "the same entry, the same answer");
             if (i == 150) {
                 String text = copy.snapshot();
-                copy = new Register(false);
+                copy = new Register(Set.of());
                 copy.restore(text);
             }
             assertEquals(register.snapshot(), copy.snapshot());
@@ -94,7 +94,7 @@
     /** Who comes or goes moves only what is to be its own. */
     @Property(tries = 50, seed = "5")
     void aNodeThatComesTakesNothingFromOneOtherToAnother(@ForAll long seed) {
-        Register register = new Register(false);
+        Register register = new Register(Set.of());
         List<String> pieces = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
             pieces.add("p" + i + "/" + seed);
