A node's end waits for the service address no longer than 2 s, whatever the cluster's thread does

Need: read again, drain() ran the node's end from the cluster's thread; a voter whose disk hangs holds that thread, and SIGTERM would have done nothing.

Change: without a service address the end begins at once, as before the cluster came in; with one a deadline on the core's loop begins it after 2 s at the latest.

--- a/src/main/java/gorserill/program/ClusterPart.java
+++ b/src/main/java/gorserill/program/ClusterPart.java
@@ -32,6 +32,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -215,8 +216,20 @@
             if (config.outAtOnce() > 0) {
                 member.permit(config.outAtOnce(), true, config.lease(), answer -> { });
             }
-            untilHandedOver(millis() + HANDING_OVER, then);
         });
+        if (address == null) {
+            then.accept(false);
+            return;
+        }
+        // Danger: a disk that hangs holds the cluster's thread, and must not hold the node's end.
+        AtomicBoolean told = new AtomicBoolean();
+        Consumer<Boolean> once = elsewhere -> {
+            if (told.compareAndSet(false, true)) {
+                then.accept(elsewhere);
+            }
+        };
+        loop.execute(() -> untilHandedOver(millis() + HANDING_OVER, once));
+        coreLoop.execute(() -> coreLoop.at(coreLoop.now() + HANDING_OVER * 2_000, () -> once.accept(false)));
     }
 
     private void untilHandedOver(long until, Consumer<Boolean> then) {
