A voter keeps its last report as it came and words it only when asked

Need: read again, each beat of a voter made a text of the log's figures that only a fault's history ever shows.

Change: the report is kept, and put into words by report().

--- a/src/main/java/gorserill/cluster/consensus/Voter.java
+++ b/src/main/java/gorserill/cluster/consensus/Voter.java
@@ -86,7 +86,8 @@
     private Collection<String> first;
     private long since;
     private boolean changing;
-    private String lastReport = "";
+    /** Null before the first one. */
+    private RaftNodeReport lastReport;
     private int refused;
     private long refusedFrom;
     private RaftNode raft;
@@ -215,7 +216,9 @@
     public String report() {
         return raft == null ? "none" : raft.getTerm() + " " + raft.getStatus() + " "
             + raft.getCommittedMembers()
-            + " applied " + applied + " changing " + changing + " last report " + lastReport;
+            + " applied " + applied + " changing " + changing + (lastReport == null ? ""
+            : " " + lastReport.getRole()
+            + " " + lastReport.getLog() + " " + lastReport.getEffectiveMembers());
     }
 
     /** The node of a voter. */
@@ -482,7 +485,7 @@
 
         void reported(RaftNodeReport report) {
             if (!over()) {
-                lastReport = report.getRole() + " " + report.getLog() + " " + report.getEffectiveMembers();
+                lastReport = report;
                 Voter.this.reported(report.getRole() == RaftRole.LEADER,
                     RaftCodec.name(report.getTerm().getLeaderEndpoint()));
                 // Danger: the library's node is in the middle of something, and would go on with it on a new
