A second replacement waits for one that is nearly done; who is asked for the leader kept true

A replacement asked for while the last one's newcomer voted already made the log forget whom to remove, and one voter too many stayed. The list of voters to ask for the leader was renewed only when its length changed. The registry's client ran on the cluster's thread.

Change: Desk refuses such a replacement until the first is done; Member compares the lists; HttpAnnouncer has threads of its own.

--- a/src/main/java/gorserill/cluster/consensus/Voter.java
+++ b/src/main/java/gorserill/cluster/consensus/Voter.java
@@ -226,6 +226,11 @@
         return Endpoint.node(voter);
     }
 
+    /** Whether a node votes in the place that an entry of the log gave it. */
+    public boolean votes(String node, long entry) {
+        return members().getOrDefault(Endpoint.name(node, entry), false);
+    }
+
     /** The nodes of the voters, and of those that are to become voters. */
     public Set<String> seats() {
         Set<String> nodes = new TreeSet<>();
--- a/src/main/java/gorserill/cluster/member/Desk.java
+++ b/src/main/java/gorserill/cluster/member/Desk.java
@@ -144,7 +144,12 @@
     /** Why a voter can't be replaced so; null where it can. */
     private String whyNot(Entry.Replace replace) {
         Set<String> seats = voter.seats();
-        return !seats.contains(replace.leaving()) ? "no voter " + replace.leaving() + " among " + seats
+        Register.Replacing its = register.replacing();
+        // Danger: let go of when the new one votes already, the old one would vote on for good.
+        return its != null && voter.votes(its.coming, its.entry)
+            ? its.coming + " is just taking the place of "
+            + its.leaving + "; ask again when that is done" : !seats.contains(replace.leaving())
+            ? "no voter " + replace.leaving() + " among " + seats
             : seats.contains(replace.coming()) && !replace.coming().equals(replace.leaving())
             ? replace.coming() + " votes already" : null;
     }
--- a/src/main/java/gorserill/cluster/member/Member.java
+++ b/src/main/java/gorserill/cluster/member/Member.java
@@ -508,7 +508,7 @@
         view.path("members").forEach(one -> members.add(one.asText()));
         Set<String> nodes = new LinkedHashSet<>(terms.voters());
         members.stream().limit(SEATS).forEach(one -> nodes.add(Voter.node(one)));
-        if (nodes.size() != seats.size()) {
+        if (!seats.equals(List.copyOf(nodes))) {
             seats = List.copyOf(nodes);
             leaderAt = 0;
         }
--- a/src/main/java/gorserill/program/HttpAnnouncer.java
+++ b/src/main/java/gorserill/program/HttpAnnouncer.java
@@ -35,8 +35,10 @@
         this.registry = registry;
         this.patience = Duration.ofMillis(patience);
         this.thread = thread;
+        // Danger: on the cluster's thread, its looking up of names and opening of connections would hold
+        // leases up.
         client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(this.patience)
-            .executor(thread).build();
+            .build();
         // Danger: the first use of the client takes so long that a hand-over would wait for it.
         look(at -> LOG.log(at == null ? Level.WARNING : Level.FINE, at == null
             ? "the registry of the service address does not answer: {0}" : "{0} has {1}",
