One gate at the write of each job's first byte; silent watches opened anew in time; closes at rest

CallPace.startsWhole let all nodes ask for up to 400 lines at their start of a service that serves 50 to 470 a second, which then turned their watches away. - HttpWorker.Link.opened wrote a job without asking whether its worker was still in service, its client there, its window open. - HttpFront.closeIdle and late closed on the loop's thread over what the selector's thread had just read; the job was then carried out for nobody. respond closed over unread bytes; the end of listening reset the backlog; the end came while requests were half read.

Change: Core.begins decides at the moment of the write, for every port: worker in service, client there, job not over, and no other attempt that may have run beside a never-twice job or outside a keyed one's window. Ports give back what is unwritten when a worker leaves or moves. A silent call is followed by the next at once, 1.5 s before what it missed counts as told (CallPace.patience; a start asks for what is new since the known list; a lower index is followed by the whole list). Connections at rest are closed, and listening ends, on the selector's thread, after all that was read is handed over and the backlog taken; last answers linger; the end waits for clients still connected as long as SIGKILL lets it.

--- a/src/main/java/gorserill/program/Fleet.java
+++ b/src/main/java/gorserill/program/Fleet.java
@@ -85,7 +85,6 @@
             WorkerState state = state(entry);
             if (state != WorkerState.READY) {
                 LOG.log(Level.FINE, "worker {0} is {1}", new Object[] {entry.name(), entry.status()});
-                worker.closeIdle();
             }
             Listing.Entry before = listed.get(entry.name());
             if (state == WorkerState.READY && entry.since() > 0
@@ -207,13 +206,10 @@
         if (entry != null) {
             long id = numbers.get(name);
             core.listed(ListKind.CHANGES, List.of(worker(id, entry)), Map.of());
-            if (banned.test(name)) {
-                workers.get(id).takeOut();
-            }
         }
     }
 
-    /** A whole list's silence on a worker says that it is gone: its connections must not outlive it. */
+    /** A whole list's silence on a worker says that it is gone. */
     private void dropUnlisted(Listing listing) {
         Set<String> named = new HashSet<>();
         listing.entries().forEach(entry -> named.add(entry.name()));
@@ -221,7 +217,6 @@
             if (!named.contains(name) && listed.remove(name) != null) {
                 LOG.log(Level.FINE, "worker {0} is no longer listed", name);
                 gone.add(name);
-                workers.get(id).closeIdle();
             }
         });
     }
--- a/src/main/java/gorserill/program/Lifecycle.java
+++ b/src/main/java/gorserill/program/Lifecycle.java
@@ -40,6 +40,8 @@
     /** The node was told to drain before it served. */
     private boolean startsEmpty;
     private Deadline closing;
+    /** By then all is answered. */
+    private long lastAnswers;
 
     /**
      * @param passedSocket whether another process may take over the clients' socket at any time
@@ -140,7 +142,8 @@
         state = State.ENDING;
         loop.cancel(closing);
         long kill = loop.now() + Math.min(longest, LONGEST_GRACE) + GRACE_OVER_DEADLINE;
-        core.answerBy(kill - LAST_ANSWERS);
+        lastAnswers = kill - LAST_ANSWERS;
+        core.answerBy(lastAnswers);
         if (passedSocket) {
             // What queues at the socket belongs to the next process; so do the clients after an answer.
             stopListening.run();
@@ -166,10 +169,14 @@
         endWhenIdle();
     }
 
-    /** Danger: a request may still come on a connection that was busy; the end waits for it, too. */
+    /**
+     * Danger: a request may still come on a connection that was busy, or have come in part; the end waits for
+     * both, as long as SIGKILL lets it.
+     */
     private void endWhenIdle() {
         core.whenIdle(() -> loop.at(loop.now() + LAST_ANSWERS, () -> {
-            if (core.openRequests() == 0) {
+            if (core.openRequests() == 0
+                && (loop.now() >= lastAnswers || fronts.stream().allMatch(ClientFront::empty))) {
                 ended.run();
             } else {
                 endWhenIdle();
--- a/src/main/java/gorserill/protocol/ClientFront.java
+++ b/src/main/java/gorserill/protocol/ClientFront.java
@@ -8,6 +8,9 @@
     /** Ends the connections of clients on which no request is open or begun; begun ones get little time. */
     void closeIdle();
 
+    /** Whether no client is connected any more. */
+    boolean empty();
+
     /** Whether the node says that clients may be sent to it. */
     void welcome(boolean clients);
 
--- a/src/main/java/gorserill/protocol/discovery/CallPace.java
+++ b/src/main/java/gorserill/protocol/discovery/CallPace.java
@@ -11,13 +11,14 @@
  * <p>Free of I/O and clock; all randomness comes from the seed. Times are milliseconds.
  */
 public final class CallPace {
-    /** What a call takes besides its lines, in lines, as a careful guess. */
-    private static final int CALL_LINES = 30;
-    /** Whole lists for all nodes at once are asked for up to so many lines. */
-    private static final int AFFORDABLE_LINES = 400;
     private static final long SHORTEST_WAIT = 5_000;
     /** Danger: a watch whose connection has gone silent is noticed at the end of its wait. */
     private static final long LONGEST_WAIT = 15_000;
+    /** What was missed counts as told so long after a silence began, or after a wait was over. */
+    private static final long SILENCE = 6_000;
+    private static final long OVER_WAIT = 2_000;
+    /** Kept of that for a new connection, the call on it and its turn. */
+    private static final long RELEARN = 1_500;
     /** From so many nodes on, waits grow with their number. */
     private static final int FEW_NODES = 4;
     /** Waits differ by up to this part, so that those that began with the same news don't end together. */
@@ -32,9 +33,14 @@
         random = new SplittableRandom(seed);
     }
 
-    /** Whether a node that starts with a known list asks for the whole of it, or for what is new since. */
-    public boolean startsWhole(int knownWorkers) {
-        return nodes * ((long) knownWorkers + CALL_LINES) <= AFFORDABLE_LINES || knownWorkers == 0;
+    /**
+     * How long a call's answer is waited for. Danger: a connection can fall silent, and what was missed then
+     * counts as told 6 s after that, or 2 s after the call's wait is over if that is later. The silence may
+     * have begun with the call, so the next one has to go out, and be answered by a service that takes its
+     * callers in turn, before the earliest of those times.
+     */
+    public static long patience(long wait) {
+        return Math.max(SILENCE, wait + OVER_WAIT) - RELEARN;
     }
 
     /** How long the next watch waits for news. */
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFront.java
@@ -197,12 +197,17 @@
     public void closeIdle() {
         for (Session session : List.copyOf(sessions)) {
             if (session.push == null && session.member == null && !session.ended
-                && session.waiting.isEmpty() && session.channel.quiet()) {
-                session.channel.close();
+                && session.waiting.isEmpty()) {
+                session.channel.closeAtRest();
             }
         }
     }
 
+    @Override
+    public boolean empty() {
+        return sessions.stream().allMatch(session -> session.member != null);
+    }
+
     private void tell(Member member) {
         FaktoryWorker worker = member.worker;
         int zone = FIRST_ZONE + (int) (worker.id - FIRST_WORKER);
@@ -211,9 +216,6 @@
         // Danger: no other node knows this worker, though its own guests have the same numbers.
         long name = nodeName ^ worker.id * 0x9e3779b97f4a7c15L;
         core.guest(new Worker(worker.id, ANY_KIND, zone, 0, state, 0, name), worker);
-        if (out) {
-            worker.takeOut();
-        }
     }
 
     private static String refusal(long waitMicros) {
@@ -545,18 +547,23 @@
             complaints.add("-ERR", "connection " + channel.number() + ": " + why);
             if (last) {
                 // Danger: its client hears so at once, also in place of an answer that it waits for.
-                ended = true;
                 abandonPush();
                 forgetWaiting();
-                loop.cancel(whole);
-                loop.cancel(silence);
-                channel.writeAndLinger(Replies.error(why));
-                silence = loop.at(loop.now() + LINGER, channel::close);
+                lastWord(Replies.error(why));
             } else {
                 channel.write(Replies.error(why));
             }
         }
 
+        /** Danger: a close over what is still unread would reset the connection, and the reply go with it. */
+        private void lastWord(byte[] reply) {
+            ended = true;
+            loop.cancel(whole);
+            loop.cancel(silence);
+            channel.writeAndLinger(reply);
+            silence = loop.at(loop.now() + LINGER, channel::close);
+        }
+
         private void end() {
             ended = true;
             channel.close();
@@ -642,8 +649,7 @@
             room.free(size);
             session.push = null;
             if (intake != Intake.OPEN && session.member == null) {
-                session.ended = true;
-                session.channel.writeAndClose(reply);
+                session.lastWord(reply);
             } else {
                 session.channel.write(reply);
                 loop.execute(session::next);
--- a/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
@@ -106,8 +106,9 @@
         Waiting next = waiting(attempt, work);
         for (Fetcher fetcher : fetchers) {
             if (fetcher.queues().contains(next.queue)) {
-                fetchers.remove(fetcher);
-                reserve(next, fetcher);
+                if (reserve(next, fetcher)) {
+                    fetchers.remove(fetcher);
+                }
                 return;
             }
         }
@@ -147,8 +148,9 @@
                 if (next.queue.equals(queue)) {
                     all.remove();
                     loop.cancel(next.end);
-                    reserve(next, fetcher);
-                    return;
+                    if (reserve(next, fetcher)) {
+                        return;
+                    }
                 }
             }
         }
@@ -201,8 +203,9 @@
         giveBack(Outcome.CONNECT_FAILED);
     }
 
-    /** The worker was taken out by hand: it gets no more, and ends what it has. */
-    void takeOut() {
+    /** It gets no more, and ends what it has. */
+    @Override
+    public void outOfService() {
         giveBack(Outcome.NOT_SENT);
     }
 
@@ -214,7 +217,12 @@
         waiting.clear();
     }
 
-    private void reserve(Waiting next, Fetcher fetcher) {
+    /** Hands a job out; false, and it is given back, where it may no longer begin. */
+    private boolean reserve(Waiting next, Fetcher fetcher) {
+        if (!next.attempt.begins()) {
+            loop.execute(() -> next.attempt.ended(Outcome.NOT_SENT, null, free(0)));
+            return false;
+        }
         Reservation held = new Reservation(next.attempt, fetcher);
         String jid = next.work.id();
         reservations.put(jid, held);
@@ -230,6 +238,7 @@
             terms.get().jobtypeFor(next.work.jobClass())), next.attempt::written);
         // An event of its own: the core may be in the middle of a call.
         loop.execute(next.attempt::started);
+        return true;
     }
 
     private Waiting waiting(Attempt attempt, Work work) {
--- a/src/main/java/gorserill/protocol/http/HttpFront.java
+++ b/src/main/java/gorserill/protocol/http/HttpFront.java
@@ -104,8 +104,9 @@
         // Nobody works for the node at this front.
     }
 
-    public int connections() {
-        return clients.size();
+    @Override
+    public boolean empty() {
+        return clients.isEmpty();
     }
 
     private final class Client implements Peer, Front {
@@ -133,8 +134,8 @@
             if (current == null && !ending && begun) {
                 loop.cancel(deadline);
                 deadline = loop.at(loop.now() + BRIEF, this::late);
-            } else if (current == null && !ending && waiting.isEmpty() && channel.quiet()) {
-                channel.close();
+            } else if (current == null && !ending && waiting.isEmpty()) {
+                channel.closeAtRest();
             }
         }
 
@@ -160,9 +161,9 @@
         }
 
         private void begun() {
-            if (!begun && proven && current == null && waiting.isEmpty()) {
+            if (!begun && (proven || intake != Intake.OPEN) && current == null && waiting.isEmpty()) {
                 loop.cancel(deadline);
-                deadline = loop.at(loop.now() + WHOLE_REQUEST, this::late);
+                deadline = loop.at(loop.now() + (intake == Intake.OPEN ? WHOLE_REQUEST : BRIEF), this::late);
             }
             begun = true;
         }
@@ -172,7 +173,7 @@
             if (begun || !proven) {
                 reject(408, "no whole request in time");
             } else {
-                channel.close();
+                channel.closeAtRest();
             }
         }
 
@@ -322,19 +323,31 @@
             respond(HttpWriter.answer(500), NOTHING);
         }
 
+        @Override
+        public boolean left() {
+            return channel.gone();
+        }
+
         /** Turns away what can't be used, and whoever sent it: such clients hold connections for long. */
         private void reject(int status, String why) {
             complaints.add(Integer.toString(status), "connection " + channel.number() + ": " + why);
             forgetAll();
-            ending = true;
-            loop.cancel(deadline);
             // Under a contract all that is turned away hears so in one form.
-            channel.writeAndLinger(HttpWriter.answer(status)
+            lastWord(HttpWriter.answer(status)
                 .header("Content-Type", gate.on() ? Problem.MEDIA_TYPE : "text/plain")
                 .header("Allow", status == 405 ? "POST" : null)
                 .header("Retry-After", status == 503 ? 1 : null).header("Connection", "close")
                 .bytes(gate.on() ? Problem.of(status, HttpWriter.reason(status), why).json()
                     : why.getBytes(StandardCharsets.UTF_8)));
+        }
+
+        /**
+         * Danger: a close over what is still unread would reset the connection, and the answer go with it.
+         */
+        private void lastWord(byte[] answer) {
+            ending = true;
+            loop.cancel(deadline);
+            channel.writeAndLinger(answer);
             deadline = loop.at(loop.now() + LINGER, channel::close);
         }
 
@@ -346,8 +359,7 @@
             forgetCurrent();
             handle = 0;
             if (last) {
-                ending = true;
-                channel.writeAndClose(message);
+                lastWord(message);
             } else {
                 channel.write(message);
                 deadline = loop.at(loop.now() + (begun || !proven ? WHOLE_REQUEST : IDLE), this::late);
--- a/src/main/java/gorserill/protocol/http/HttpWatch.java
+++ b/src/main/java/gorserill/protocol/http/HttpWatch.java
@@ -25,10 +25,8 @@
 public final class HttpWatch {
     private static final Logger LOG = Logger.getLogger(HttpWatch.class.getName());
     private static final JsonFactory JSON = new JsonFactory();
-    /** How much longer than its wait for news a call's answer may take. */
-    private static final long PATIENCE = 1_500_000;
-    /** Discovery may take this long for a call that does not wait. */
-    private static final long FIRST_PATIENCE = 5_000_000;
+    /** A connection is up by then, or never will be. */
+    private static final long CONNECT_PATIENCE = 1_500_000;
     /** A new address is tried this often, for so long. Danger: its word counts as told 4 s after the move. */
     private static final long EAGER_PAUSE = 100_000;
     private static final long EAGER = 4_000_000;
@@ -73,9 +71,13 @@
         start();
     }
 
-    /** The node starts with this list: where all of it would cost too much, only what is new is asked for. */
+    /**
+     * The node starts with this list, and asks for what is new since. Danger: whole lists for nodes that
+     * start together keep a service that takes its callers in turn busy with what they know, and each call
+     * that it turns away leaves a node without a watch.
+     */
     public void knows(Listing known) {
-        if (!pace.startsWhole(known.entries().size())) {
+        if (!known.entries().isEmpty()) {
             index = known.index();
             whole = false;
         }
@@ -87,7 +89,8 @@
             Call next = new Call();
             call = next;
             next.connecting = transport.connect(address, chain, next);
-            next.deadline = loop.at(loop.now() + PATIENCE, () -> next.fail("no connection"));
+            next.deadline =
+                loop.at(loop.now() + CONNECT_PATIENCE, () -> next.fail("no connection"));
         }
     }
 
@@ -101,11 +104,20 @@
         private void ask() {
             long wait = whole ? 0 : pace.nextWait();
             String target = "/v1/servers" + (whole ? "" : "?index=" + index + "&wait=" + wait);
+            LOG.log(Level.FINE, "discovery: asks {0}", target);
             channel.write(HttpWriter.request("GET", target, "discovery").bytes());
             loop.cancel(deadline);
-            // Danger: discovery's word counts as told 2 s after the wait, whether it arrived or not.
-            long patience = Math.max(FIRST_PATIENCE, wait * 1_000) + PATIENCE;
-            deadline = loop.at(loop.now() + patience, () -> fail("no answer"));
+            deadline = loop.at(loop.now() + CallPace.patience(wait) * 1_000, this::silent);
+        }
+
+        /**
+         * Danger: a silence is no refusal, and the time until what it hid counts as told is short: the next
+         * call goes out at once. It can't do so often, since a silence takes seconds to notice.
+         */
+        private void silent() {
+            LOG.log(Level.WARNING, "discovery: no answer, the watch is opened anew");
+            end();
+            start();
         }
 
         @Override
@@ -148,6 +160,8 @@
         }
 
         private void answered() {
+            LOG.log(Level.FINE, "discovery: answers {0} with {1} bytes",
+                new Object[] {head.status(), body.size()});
             if (head.status() != 200) {
                 fail("status " + head.status());
                 return;
@@ -160,8 +174,10 @@
                 fail("an unreadable listing: " + e.getMessage());
                 return;
             }
+            // Danger: a lower index is another count, of a service that has begun anew: what it calls new
+            // since then may leave out whatever came before.
+            whole = !listing.whole() && listing.index() < index;
             index = listing.index();
-            whole = false;
             eagerUntil = 0;
             if (head.closes()) {
                 end();
--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -69,7 +69,7 @@
     public void moveTo(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
-            closeIdle();
+            outOfService();
         }
     }
 
@@ -83,14 +83,11 @@
         }
     }
 
-    /**
-     * The worker was taken out. Danger: an attempt whose connection comes up later would still reach it, so
-     * those that are not written are given back; the ones that run go on.
-     */
-    public void takeOut() {
+    @Override
+    public void outOfService() {
         closeIdle();
         for (Link link : List.copyOf(busy.values())) {
-            link.giveBack();
+            link.giveBackUnwritten();
         }
     }
 
@@ -134,6 +131,8 @@
         private ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Transport.Connecting connecting;
         private Channel channel;
+        /** Where it leads, from its opening on. */
+        private InetSocketAddress to;
         private Channel.Sending sending;
         private Deadline deadline;
         private Attempt attempt;
@@ -170,7 +169,8 @@
                 write();
             } else {
                 attempt.opening();
-                connecting = terms.transport().connect(address, terms.chain(), this);
+                to = address;
+                connecting = terms.transport().connect(to, terms.chain(), this);
                 deadline = terms.loop().at(terms.loop().now() + terms.connectTimeout(), () -> {
                     connecting.cancel();
                     connectFailed("not up within the time-out");
@@ -179,6 +179,10 @@
         }
 
         private void write() {
+            if (!attempt.begins()) {
+                giveBack();
+                return;
+            }
             sentAt = terms.loop().now();
             String target = work.route() != null ? work.route()
                 : "/" + terms.classNames().get(work.jobClass());
@@ -244,13 +248,25 @@
             return never;
         }
 
-        void giveBack() {
+        /** Before the connection is up nothing was written. */
+        void giveBackUnwritten() {
             if (channel == null) {
-                shut();
-                finish(Outcome.NOT_SENT, null, Load.NONE);
+                giveBack();
             }
         }
 
+        /** Not a byte of the job went out: it provably never ran here. */
+        private void giveBack() {
+            LOG.log(Level.FINE, "worker {0}: request {1} given back, unwritten",
+                new Object[] {name, attempt.requestId()});
+            Attempt unwritten = attempt;
+            busy.remove(unwritten);
+            attempt = null;
+            shut();
+            // An event of its own: the core may be in the middle of a call.
+            terms.loop().execute(() -> unwritten.ended(Outcome.NOT_SENT, null, Load.NONE));
+        }
+
         void shut() {
             shut = true;
             idle.remove(this);
@@ -374,7 +390,9 @@
                 // The answer ended before its last line.
                 shut();
                 finish(Outcome.RESET, null, Load.NONE);
-            } else if (shut || head.closes()) {
+            } else if (shut || head.closes() || !to.equals(address)) {
+                // Danger: the worker may have moved while the job ran; the next one would go to its old
+                // address.
                 shut();
             } else {
                 ended = true;
--- a/src/main/java/gorserill/routing/Attempt.java
+++ b/src/main/java/gorserill/routing/Attempt.java
@@ -15,14 +15,28 @@
     long startedAt;
     /** Its outcome proved that the job never ran. */
     boolean neverRan;
+    /** The earliest moment at which a byte of it may have gone out; 0 for not yet. */
+    long begunAt;
+    final long worker;
 
-    Attempt(Core core, Request request, int number, WorkerPort port) {
+    Attempt(Core core, Request request, int number, long worker, WorkerPort port) {
         this.core = core;
         this.request = request;
         this.number = number;
+        this.worker = worker;
         this.port = port;
     }
 
+    /**
+     * To be asked right before the write of its first byte, which has to go out where this is true, and must
+     * not where it isn't. Danger: between the decision and the write lies the opening of a connection, and
+     * meanwhile the worker may have begun to drain, the client may have left, another attempt may have ended
+     * the job, or the time may be over in which workers drop a repeat.
+     */
+    public boolean begins() {
+        return core.begins(this);
+    }
+
     /** A connection has to be opened for it; may be told from within {@link WorkerPort#start}. */
     public void opening() {
         core.opening(this);
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -45,6 +45,8 @@
     private final Map<Long, WorkerPort> ports = new HashMap<>();
     /** Workers that came to the node by themselves; a list from discovery does not know them. */
     private final Map<Long, Worker> guests = new HashMap<>();
+    /** Workers in service, by what discovery, operators and the workers themselves said last. */
+    private final Set<Long> inService = new HashSet<>();
     private long lastNow;
     private final Tally tally;
     private int open;
@@ -140,7 +142,37 @@
         if (kind == ListKind.WHOLE || kind == ListKind.CACHED) {
             all.addAll(guests.values());
         }
+        tell(kind, all);
+    }
+
+    private void tell(ListKind kind, List<Worker> all) {
         module.workers(now(), kind, all);
+        Set<Long> before = Set.copyOf(inService);
+        if (kind == ListKind.WHOLE || kind == ListKind.CACHED) {
+            inService.clear();
+        }
+        for (Worker worker : all) {
+            if (worker.state() == WorkerState.READY) {
+                inService.add(worker.id());
+            } else {
+                inService.remove(worker.id());
+            }
+        }
+        for (long worker : before) {
+            if (!inService.contains(worker)) {
+                ports.get(worker).outOfService();
+            }
+        }
+    }
+
+    /** The one place that decides whether an attempt's first byte may go out now. */
+    boolean begins(Attempt attempt) {
+        Request request = attempt.request;
+        long now = now();
+        boolean may = !request.over && !request.front.left() && inService.contains(attempt.worker)
+            && request.mayBegin(attempt, settings.classes().get(request.work.jobClass()), now);
+        attempt.begunAt = may ? now : 0;
+        return may;
     }
 
     /** A worker that came by itself, or a change of its state. */
@@ -151,7 +183,7 @@
             guests.put(worker.id(), worker);
             ports.put(worker.id(), port);
         }
-        module.workers(now(), ListKind.CHANGES, List.of(worker));
+        tell(ListKind.CHANGES, List.of(worker));
         if (worker.state() == WorkerState.GONE) {
             ports.remove(worker.id());
         }
@@ -360,7 +392,8 @@
             return;
         }
         boolean lawful = request.mayBeSent(settings.classes().get(request.work.jobClass()));
-        Attempt attempt = new Attempt(this, request, request.attempts.size(), ports.get(worker));
+        Attempt attempt = new Attempt(this, request, request.attempts.size(), worker,
+            ports.get(worker));
         request.attempts.add(attempt);
         request.out++;
         attempt.handle = attempts.add(attempt);
--- a/src/main/java/gorserill/routing/Front.java
+++ b/src/main/java/gorserill/routing/Front.java
@@ -10,4 +10,12 @@
 
     /** Not done as far as is known, but it may have run. */
     void failed();
+
+    /**
+     * Whether the client has gone, of which the core may still have to hear: events wait in turn, and what
+     * has gone must have nothing begun for it.
+     */
+    default boolean left() {
+        return false;
+    }
 }
--- a/src/main/java/gorserill/routing/Request.java
+++ b/src/main/java/gorserill/routing/Request.java
@@ -48,4 +48,18 @@
         }
         return true;
     }
+
+    /**
+     * Whether an attempt may begin beside those that have begun. Danger: it was decided on before, when a
+     * repeat would still have been dropped, and its connection may have come up late.
+     */
+    boolean mayBegin(Attempt next, JobClass of, long now) {
+        for (Attempt attempt : attempts) {
+            if (attempt != next && attempt.begunAt > 0 && !attempt.neverRan && (effect == Effect.UNSAFE
+                || effect == Effect.KEYED && now >= attempt.begunAt + of.dedupWindow())) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
--- a/src/main/java/gorserill/transport/Channel.java
+++ b/src/main/java/gorserill/transport/Channel.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
@@ -19,14 +20,20 @@
 
     private final Connection<Object> connection;
     private final Descriptors descriptors;
+    private final Consumer<Runnable> onSelector;
     final Peer peer;
     long handle;
     private int handedOver;
+    /** How often something was handed over, since the beginning. */
+    private long reads;
     private boolean paused;
     private volatile boolean lingering;
     private int discarded;
 
-    Channel(Connection<Object> connection, Peer peer, Descriptors descriptors) {
+    /** @param onSelector runs something on the thread that reads from the connection */
+    Channel(Connection<Object> connection, Peer peer, Descriptors descriptors,
+            Consumer<Runnable> onSelector) {
+        this.onSelector = onSelector;
         this.connection = connection;
         this.peer = peer;
         this.descriptors = descriptors;
@@ -54,12 +61,6 @@
         return send(message, written);
     }
 
-    /** Sends a last message, then closes. */
-    public void writeAndClose(Object message) {
-        descriptors.unproven(this);
-        send(message, connection::closeSilently);
-    }
-
     /**
      * Sends a last message and ends the sending, but leaves the connection open for its peer to read that:
      * closing on what is still unread would reset it, and the message might be lost. What comes meanwhile is
@@ -126,6 +127,7 @@
         if (whole) {
             descriptors.busy(this);
         }
+        reads++;
         if (++handedOver > MOST_HANDED_OVER && !paused) {
             paused = true;
             read(false);
@@ -140,9 +142,23 @@
         }
     }
 
-    /** Whether nothing that came on it waits for the loop: closing would lose that. */
-    public synchronized boolean quiet() {
-        return handedOver == 0;
+    /**
+     * Closes it, on which nothing is owed, unless something comes before. Danger: reads are made on the
+     * selector's thread; closed on any other, a connection may just have been read from, and what came would
+     * be carried out for a client that is told nothing. There, all that was read is handed over, and what is
+     * not read yet the client sees refused, and sends anew.
+     */
+    public synchronized void closeAtRest() {
+        long seen = reads;
+        if (handedOver == 0) {
+            onSelector.accept(() -> closeUnlessRead(seen));
+        }
+    }
+
+    private synchronized void closeUnlessRead(long seen) {
+        if (reads == seen) {
+            close();
+        }
     }
 
     private void read(boolean on) {
@@ -175,6 +191,11 @@
         connection.terminateSilently();
     }
 
+    /** Whether it has ended; any thread may ask, and may know before the peer has heard of it. */
+    public boolean gone() {
+        return !connection.isOpen();
+    }
+
     /** Its number in the table of connections, for logs. */
     public String number() {
         return Long.toString(handle & 0xfffff);
--- a/src/main/java/gorserill/transport/Transport.java
+++ b/src/main/java/gorserill/transport/Transport.java
@@ -26,6 +26,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -46,7 +47,7 @@
     /** Where connections are accepted. */
     public interface Listening {
         /**
-         * Accepts nothing more. What still waits to be accepted is reset, or left to other processes where
+         * Accepts nothing more than what waits to be accepted by now; that is left to other processes where
          * the socket was passed on.
          */
         void end();
@@ -134,7 +135,35 @@
 
     private Listening bind(Accepting accepting, Filter codec, InetSocketAddress address) throws IOException {
         TCPNIOServerConnection server = binding(accepting, codec).bind(address, BACKLOG);
-        return server::closeSilently;
+        return () -> onSelector(server, () -> {
+            takeBacklog(server, accepting);
+            server.closeSilently();
+        });
+    }
+
+    /**
+     * Danger: who connected while the selector's thread was busy waits in the system's queue, and maybe sent
+     * a request; the end of listening resets whatever waits there.
+     */
+    private static void takeBacklog(TCPNIOServerConnection server, Accepting accepting) {
+        try {
+            int first = accepting.accepted;
+            int before;
+            do {
+                before = accepting.accepted;
+                server.onAccept();
+            } while (accepting.accepted > before && before < first + BACKLOG);
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "what waits to be accepted can''t be", e);
+        }
+    }
+
+    /** Runs it on the thread that reads from this connection, or accepts at it, between two of those. */
+    private void onSelector(Connection<?> connection, Runnable task) {
+        nio.getSelectorHandler().execute(((NIOConnection) connection).getSelectorRunner(), () -> {
+            task.run();
+            return true;
+        }, null);
     }
 
     private TCPNIOBindingHandler binding(Accepting accepting, Filter codec) {
@@ -170,7 +199,8 @@
 
     @SuppressWarnings("unchecked")
     private Channel channel(Connection<?> opened, Peer peer, Descriptors budget) {
-        Channel channel = new Channel((Connection<Object>) opened, peer, budget);
+        Channel channel = new Channel((Connection<Object>) opened, peer, budget,
+            task -> onSelector(opened, task));
         channels.set(opened, channel);
         return channel;
     }
@@ -195,6 +225,8 @@
         private final Executor lane;
         private final Descriptors budget;
         private final Supplier<? extends Peer> peers;
+        /** On the selector's thread alone. */
+        private int accepted;
 
         Accepting(Executor lane, Descriptors budget, Supplier<? extends Peer> peers) {
             this.lane = lane;
@@ -204,6 +236,7 @@
 
         @Override
         public NextAction handleAccept(FilterChainContext ctx) {
+            accepted++;
             Channel channel = channel(ctx.getConnection(), peers.get(), budget);
             // Danger: clients that say nothing must not cut off those that do, nor the node from its workers.
             Channel least = budget.accepted(channel);
--- a/src/test/java/gorserill/protocol/discovery/CallPaceTest.java
+++ b/src/test/java/gorserill/protocol/discovery/CallPaceTest.java
@@ -1,7 +1,6 @@
 package gorserill.protocol.discovery;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.Test;
@@ -9,12 +8,20 @@
 /** What the calls of all nodes add up to at one discovery. */
 public class CallPaceTest {
 
+    /**
+     * A watch can fall silent at any moment of its wait, or with its call. What it misses counts as told 6 s
+     * after that, or 2 s after the wait is over if that is later: long before that the next call goes out.
+     */
     @Test
-    public void aSmallFleetAsksForTheWholeListAndALargeOneForWhatIsNew() {
-        assertTrue(new CallPace(3, 1).startsWhole(15));
-        assertFalse(new CallPace(14, 1).startsWhole(60));
-        assertTrue(new CallPace(200, 1).startsWhole(0), "who knows of nobody needs them all");
-        assertFalse(new CallPace(Integer.MAX_VALUE, 1).startsWhole(Integer.MAX_VALUE - 100));
+    public void aSilentWatchIsGivenUpASecondAndAHalfBeforeWhatItMissedCountsAsTold() {
+        for (long wait = 0; wait <= 60_000; wait += 250) {
+            for (long silent = 0; silent <= wait; silent += 250) {
+                long told = Math.max(silent + 6_000, wait + 2_000);
+                assertTrue(CallPace.patience(wait) <= told - 1_500, "wait " + wait + ", silent at " + silent);
+            }
+            assertTrue(CallPace.patience(wait) >= wait + 500,
+                "an answer at the end of the wait has to arrive");
+        }
     }
 
     /** Empty ends of waits must not grow with the number of nodes, until waits can grow no further. */
--- /dev/null
+++ b/src/test/java/gorserill/protocol/http/LiveCore.java
@@ -0,0 +1,216 @@
+package gorserill.protocol.http;
+
+import barrowflow.Dispatcher.Cold;
+import barrowflow.Dispatcher.Effect;
+import barrowflow.Dispatcher.Group;
+import barrowflow.Dispatcher.JobClass;
+import barrowflow.Dispatcher.Settings;
+import gorserill.common.Complaints;
+import gorserill.common.Loop;
+import gorserill.common.Room;
+import gorserill.common.Siblings;
+import gorserill.protocol.ClassTerms;
+import gorserill.protocol.Gate;
+import gorserill.protocol.Tenants;
+import gorserill.routing.Ask;
+import gorserill.routing.Attempt;
+import gorserill.routing.Core;
+import gorserill.routing.Front;
+import gorserill.routing.Load;
+import gorserill.routing.Work;
+import gorserill.routing.WorkerPort;
+import gorserill.transport.Transport;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.filterchain.Filter;
+
+/** The real core, module, loop and transport before real connections to stand-in workers. */
+final class LiveCore implements AutoCloseable {
+    static final JobClass SAFE = new JobClass(100_000, 2, 2_000_000, 1, 0, Effect.SAFE, Group.ALL, 0, -1);
+
+    final List<Throwable> faults = new ArrayList<>();
+    /** How far the test has put the node's clock forward, in nanoseconds. */
+    final AtomicLong ahead = new AtomicLong();
+    final Loop loop = new Loop(faults::add, () -> System.nanoTime() + ahead.get());
+    final Transport transport;
+    final Core core;
+    final Room room = new Room(1_000_000);
+    HttpFront front;
+    Transport.Listening listening;
+    private final HttpWorker.Terms terms;
+    private Callable<?> crossing;
+
+    LiveCore(int descriptors, boolean mayCancel) throws Exception {
+        this(descriptors, mayCancel, SAFE);
+    }
+
+    LiveCore(int descriptors, boolean mayCancel, JobClass jobs) throws Exception {
+        transport = new Transport(loop, descriptors, Siblings.none());
+        transport.start();
+        Settings settings = new Settings(1, 0, List.of(jobs), List.of(), 1,
+            new Cold(0.2, 10_000_000, 3, 1_000_000), 4, mayCancel, 2_000_000, true, true, 0);
+        terms = new HttpWorker.Terms(loop, transport,
+            transport.chain(HttpCodec.client(loop, Integer.MAX_VALUE)), List.of("estado"),
+            new LoadNames("x0", null), 2_000_000, 15_000_000,
+            new Complaints(loop, Logger.getLogger(LiveCore.class.getName()), "answers"));
+        loop.start();
+        core = on(() -> new Core(loop, settings, 3, () -> { }));
+    }
+
+    HttpWorker port(String name, InetSocketAddress address) {
+        return new HttpWorker(terms, name, address);
+    }
+
+    /** The same port, which lets what {@link #cross} was given happen. */
+    WorkerPort crossed(HttpWorker port) {
+        return new Crossed(port);
+    }
+
+    /** The front for clients, on an address of its own. */
+    InetSocketAddress listen() throws Exception {
+        return listen(HttpCodec.server(loop, HttpFront.MAX_BODY, room));
+    }
+
+    InetSocketAddress listen(Filter codec) throws Exception {
+        front = on(() -> new HttpFront(loop, core,
+            Map.of("estado", new ClassTerms(0, 2_000_000, false, false)), new Tenants(List.of()),
+            new Gate(loop, 0, terms.complaints()), room));
+        InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        listening = transport.listen(at, codec, front::accept);
+        return at;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** A request as clients send it. */
+    static byte[] job(String id) {
+        return HttpWriter.ascii("POST /estado HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
+            + "\r\nX-Remaining-Ms: 1800\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    /** Waits until something that no event tells of is so. */
+    static void await(BooleanSupplier so) throws InterruptedException {
+        for (long end = System.nanoTime() + 5_000_000_000L; !so.getAsBoolean(); Thread.sleep(1)) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("it never came to be so");
+            }
+        }
+    }
+
+    /** Puts the node's clock forward, between two of its events. */
+    void forward(long micros) throws Exception {
+        on(() -> ahead.addAndGet(micros * 1_000));
+    }
+
+    /**
+     * The next attempt at a crossed port has this event right behind its start: word that its connection is
+     * up comes after it, whenever that happens and however long the event takes.
+     */
+    <T> CompletableFuture<T> cross(Callable<T> event) {
+        CompletableFuture<T> given = new CompletableFuture<>();
+        crossing = () -> {
+            run(event, given);
+            return null;
+        };
+        return given;
+    }
+
+    /** Takes a job, on the loop's thread; gives its handle. */
+    long take(String id, CompletableFuture<String> answer) {
+        return core.take(new Answer(answer), new Work(id, 0, null, null, null, new byte[0]),
+            new Ask(loop.now(), 1_800_000, false, 0, 0, 1, 0));
+    }
+
+    /** Runs something as one event of the loop, and waits for what it gives. */
+    <T> T on(Callable<T> event) throws Exception {
+        CompletableFuture<T> given = new CompletableFuture<>();
+        loop.execute(() -> run(event, given));
+        return given.get(10, TimeUnit.SECONDS);
+    }
+
+    private static <T> void run(Callable<T> event, CompletableFuture<T> given) {
+        try {
+            given.complete(event.call());
+        } catch (Exception | AssertionError e) {
+            given.completeExceptionally(e);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        loop.stop();
+        transport.stop();
+    }
+
+    private record Answer(CompletableFuture<String> given) implements Front {
+        @Override
+        public void served(byte[] result) {
+            given.complete("served");
+        }
+
+        @Override
+        public void refused(long waitMicros) {
+            given.complete("refused");
+        }
+
+        @Override
+        public void failed() {
+            given.complete("failed");
+        }
+    }
+
+    private final class Crossed implements WorkerPort {
+        private final HttpWorker port;
+
+        Crossed(HttpWorker port) {
+            this.port = port;
+        }
+
+        @Override
+        public void start(Attempt attempt, Work work, long expires) {
+            if (crossing != null) {
+                Callable<?> event = crossing;
+                crossing = null;
+                loop.execute(() -> {
+                    try {
+                        event.call();
+                    } catch (Exception e) {
+                        faults.add(e);
+                    }
+                });
+            }
+            port.start(attempt, work, expires);
+        }
+
+        @Override
+        public boolean callOff(Attempt attempt) {
+            return port.callOff(attempt);
+        }
+
+        @Override
+        public void outOfService() {
+            port.outOfService();
+        }
+
+        @Override
+        public void probe(Consumer<Load> answer) {
+            port.probe(answer);
+        }
+    }
+}
