All workers are traded with while a job waits for the few; prompt ends renew credit

A probe in a scratch copy counted, at each job given up, what its node knew of the workers: of 60 ready ones 56 were not traded with, none was barred or queueing, quota for the job at none (p90), shares 0.07 to 0.3 of a slot, credit under half of a job's cost, and slots were 40 % in use.

Cause: Choice.centrePaces widens the few workers that one of many dispatchers trades with only where none of them takes jobs at all; having no quota for seconds, as where jobs run for seconds, did not count. And Choice.learn gave a prompt end back what the job was sold for, which left the credit where it began, at nothing: an unlearned worker sold its first job and then none for as long as a hundredth of a slot needs to save up one. Ruled out: bars, reports of no room, cold workers, tenants' shares (all zero at those jobs).

Change: while a job has waited a period and could still be in time, all workers are traded with; a prompt end leaves its worker the credit of one more such job. FleetLimitsTest, 5 and 25 jobs at a time: refuses from job 13 and 45 on without both, from 157 on with the first alone (25 at a time); none with both.

--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -445,7 +445,7 @@
 
     /**
      * Average speed stays 1, as an unlearned worker is counted. Danger: shares too small for a job teach
-     * nothing, so few workers are traded with; all of them if none of the few can take a job.
+     * nothing, so few workers are traded with; all of them if the few can't or don't take a job in a period.
      */
     private void centrePaces(long now) {
         double paces = 0;
@@ -461,7 +461,7 @@
             s.pace /= mean;
             stranded &= s.tie > part || !takesJobs(s, now);
         }
-        part = stranded ? 1 : part;
+        part = stranded || held.stream().anyMatch(j -> j.waitsFor(period, now)) ? 1 : part;
         for (Good g : goods) {
             g.run *= g.runs > 0 ? mean : 1;
         }
@@ -661,9 +661,10 @@
             judge(a, now);
         }
         // A slot entered at once is known to be free after; one at a key's far worker had better stay idle.
-        double spare = a.queued || a.job.key != 0 ? Math.max(0, a.expected - run) : a.expected;
-        s.credit += spare * a.job.slots;
+        boolean free = !a.queued && a.job.key == 0;
+        s.credit += (free ? a.expected : Math.max(0, a.expected - run)) * a.job.slots;
         ledger.learn(a, run);
+        s.credit = free ? Math.max(s.credit, s.cost(g)) : s.credit;
     }
 
     /** Danger: a worker that fails fast would draw jobs; each failure in a row doubles its bar. */
--- a/src/main/java/barrowflow/Ledger.java
+++ b/src/main/java/barrowflow/Ledger.java
@@ -627,6 +627,11 @@
             return false;
         }
 
+        /** It is held for longer than that, and would be in time, within its tenant's share. */
+        boolean waitsFor(long time, long now) {
+            return isHeld && !overShare && now <= bestBy && now - arrived > time;
+        }
+
         /** The first attempt that may have run, one still out among them; null where none may. */
         Attempt mayHaveRun() {
             for (int i = 0; i < attempts.size(); i++) {
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -110,7 +110,8 @@
             config.connectTimeout, config.keepIdle(),
             new Complaints(loop, Logger.getLogger(HttpWorker.class.getName()), "workers' answers"));
         watch = new HttpWatch(loop, transport, transport.chain(HttpCodec.client(loop, MAX_LISTING)),
-            config.discovery, new CallPace(config.settings.dispatchers(), config.seed), this::heard,
+            config.discovery, new CallPace(config.settings.dispatchers(),
+                !config.settings.listOnRequest(), config.seed), this::heard,
             this::watchFailed);
         if (config.known != null) {
             watch.knows(config.known);
--- a/src/main/java/gorserill/protocol/discovery/CallPace.java
+++ b/src/main/java/gorserill/protocol/discovery/CallPace.java
@@ -19,16 +19,23 @@
     private static final long OVER_WAIT = 2_000;
     /** Kept of that for a new connection, the call on it and its turn. */
     private static final long RELEARN = 1_500;
+    /** An agent on the node's own machine has answered by then, or never will. */
+    private static final long AGENT = 1_500;
     /** From so many nodes on, waits grow with their number. */
     private static final int FEW_NODES = 4;
     /** Waits differ by up to this part, so that those that began with the same news don't end together. */
     private static final double JITTER = 0.2;
 
     private final int nodes;
+    private final boolean pushed;
     private final SplittableRandom random;
 
-    /** @param nodes how many call the same discovery, this one included */
-    public CallPace(int nodes, long seed) {
+    /**
+     * @param nodes how many call the same discovery, this one included
+     * @param pushed whether lists are pushed to an agent beside the node
+     */
+    public CallPace(int nodes, boolean pushed, long seed) {
+        this.pushed = pushed;
         this.nodes = Math.max(1, nodes);
         random = new SplittableRandom(seed);
     }
@@ -37,10 +44,11 @@
      * How long a call's answer is waited for. Danger: a connection can fall silent, and what was missed then
      * counts as told 6 s after that, or 2 s after the call's wait is over if that is later. The silence may
      * have begun with the call, so the next one has to go out, and be answered by a service that takes its
-     * callers in turn, before the earliest of those times.
+     * callers in turn, before the earliest of those times. An agent that lists are pushed to answers at once
+     * what need not wait, and its word counts as told 4 s after a move to it: it is asked again within that.
      */
-    public static long patience(long wait) {
-        return Math.max(SILENCE, wait + OVER_WAIT) - RELEARN;
+    public long patience(long wait) {
+        return wait == 0 && pushed ? AGENT : Math.max(SILENCE, wait + OVER_WAIT) - RELEARN;
     }
 
     /** How long the next watch waits for news. */
--- a/src/main/java/gorserill/protocol/http/HttpWatch.java
+++ b/src/main/java/gorserill/protocol/http/HttpWatch.java
@@ -107,7 +107,7 @@
             LOG.log(Level.FINE, "discovery: asks {0}", target);
             channel.write(HttpWriter.request("GET", target, "discovery").bytes());
             loop.cancel(deadline);
-            deadline = loop.at(loop.now() + CallPace.patience(wait) * 1_000, this::silent);
+            deadline = loop.at(loop.now() + pace.patience(wait) * 1_000, this::silent);
         }
 
         /**
--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -93,6 +93,9 @@
 
     @Override
     public void start(Attempt attempt, Work work, long expires) {
+        // Danger: one that the worker has closed, of which word is on its way, would cost the job an attempt
+        // and the worker its good name.
+        idle.removeIf(Link::gone);
         // The connection used last is the one least likely to be near its idle limit.
         Link link = idle.peekLast();
         if (link != null && link.idleFor() > terms.trust().limit()) {
@@ -147,15 +150,27 @@
         private boolean finished;
         /** The answer has ended, too. */
         private boolean ended;
+        /** The job before this one, on a connection that is used again. */
+        private String before;
+        /** A line of the answer at hand was this job's. */
+        private boolean named;
+        /** The answer at hand is one more to the job before. */
+        private boolean stray;
         /** Something came after the last line. */
         private boolean overrun;
         private boolean shut;
 
+        boolean gone() {
+            return channel.gone();
+        }
+
         long idleFor() {
             return terms.loop().now() - idleSince;
         }
 
         void start(Attempt next, Work its, long until) {
+            before = work == null || work.id().equals(its.id()) ? null : work.id();
+            named = false;
             attempt = next;
             work = its;
             expires = until;
@@ -262,7 +277,11 @@
             Attempt unwritten = attempt;
             busy.remove(unwritten);
             attempt = null;
-            shut();
+            if (idledFor < 0) {
+                shut();
+            } else {
+                rest();
+            }
             // An event of its own: the core may be in the middle of a call.
             terms.loop().execute(() -> unwritten.ended(Outcome.NOT_SENT, null, Load.NONE));
         }
@@ -340,7 +359,9 @@
 
         private void data(byte[] data) {
             for (byte b : data) {
-                if (finished || shut) {
+                if (stray) {
+                    // Skipped, however long it is: the job's own time ends it.
+                } else if (finished || shut) {
                     // What follows the last line is of no use; the connection goes once it ends, or at once.
                     overrun |= head.status() == 200 && (b < 0 || b > ' ');
                 } else if (b != '\n') {
@@ -365,11 +386,18 @@
                 broken("an unreadable line: " + e.getMessage());
                 return;
             }
+            if (!named && event.id() != null && event.id().equals(before)) {
+                // Danger: ended by it, a job that may not run twice would be lost to another's second answer.
+                terms.complaints().add("a second answer", "worker " + name + ": to request " + before);
+                stray = true;
+                return;
+            }
             // Danger: a line about another request would serve this one with what was not made for it.
             if (event.id() != null && !event.id().equals(attempt.requestId())) {
                 broken("a line for request " + event.id() + " in the answer to " + attempt.requestId());
                 return;
             }
+            named = true;
             Load load = event.load() != null ? event.load()
                 : JobEvent.load(head.header("x-pressure"), terms.reports());
             switch (event.state()) {
@@ -383,27 +411,39 @@
         }
 
         private void end() {
-            if (line.size() > 0 && !finished) {
+            if (line.size() > 0 && !finished && !stray) {
                 event(line.toByteArray());
             }
-            if (!finished) {
+            if (stray) {
+                // One is enough: who sends more of them is not listened to.
+                before = null;
+                stray = false;
+                head = null;
+                line.reset();
+            } else if (!finished) {
                 // The answer ended before its last line.
                 shut();
                 finish(Outcome.RESET, null, Load.NONE);
-            } else if (shut || head.closes() || !to.equals(address)) {
+            } else if (shut || head.closes() || head.status() != 200 || !to.equals(address)) {
                 // Danger: the worker may have moved while the job ran; the next one would go to its old
-                // address.
+                // address. And an answer that names no job could come again, and be taken for the next one's:
+                // 'turned away' would have what runs run twice.
                 shut();
             } else {
-                ended = true;
-                idleSince = terms.loop().now();
-                line = new ByteArrayOutputStream();
-                idle.add(this);
-                terms.loop().cancel(deadline);
-                deadline = terms.loop().at(terms.loop().now() + terms.keepIdle(), this::shut);
+                rest();
             }
         }
 
+        private void rest() {
+            finished = true;
+            ended = true;
+            idleSince = terms.loop().now();
+            line = new ByteArrayOutputStream();
+            idle.add(this);
+            terms.loop().cancel(deadline);
+            deadline = terms.loop().at(idleSince + terms.keepIdle(), this::shut);
+        }
+
         private void broken(String why) {
             terms.complaints().add("connection closed", "worker " + name + ": " + why);
             shut();
--- a/src/test/java/barrowflow/FleetLimitsTest.java
+++ b/src/test/java/barrowflow/FleetLimitsTest.java
@@ -7,7 +7,9 @@
 import barrowflow.Dispatcher.Outcome;
 import barrowflow.Dispatcher.Worker;
 import barrowflow.Dispatcher.WorkerState;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
@@ -58,6 +60,39 @@
         assertEquals(20, serve(host, 400, 20));
     }
 
+    /**
+     * A hundred dispatchers over 60 workers, jobs a hundred periods long and longer: the few workers that one
+     * trades with have sold what they have for seconds. Danger: its jobs would be refused while slots idle.
+     */
+    @Test
+    void whereJobsAreLongAndDispatchersManyTheyGoWhereverOnesBeforeThemBeganAtOnce() {
+        for (int together : new int[] {5, 25}) {
+            assertNoneRefused(together);
+        }
+    }
+
+    private static void assertNoneRefused(int together) {
+        FakeHost host = new FakeHost(FakeHost.settings(100, List.of(), FakeHost.SAFE), 5);
+        host.module.workers(host.now, ListKind.WHOLE, workers(1, 60, 0));
+        Deque<Long> running = new ArrayDeque<>();
+        int begun = 0;
+        for (long i = 0; i < 200; i++) {
+            host.request(i, 0);
+            for (int period = 0; period < 20; period++) {
+                for (; begun < host.sent.size(); begun++) {
+                    host.started(host.sent.get(begun).request(), 0);
+                    running.add(host.sent.get(begun).request());
+                }
+                host.pass(FakeHost.PERIOD);
+            }
+            if (running.size() > together) {
+                host.ended(running.remove(), 0, Outcome.SERVED);
+            }
+        }
+        assertEquals(List.of(), host.refused);
+        assertEquals(200, host.sent.size());
+    }
+
     @Test
     void entriesThatFlapNeverGetAJobWhileTheyAreDraining() {
         FakeHost host = host(4);
--- a/src/test/java/gorserill/protocol/discovery/CallPaceTest.java
+++ b/src/test/java/gorserill/protocol/discovery/CallPaceTest.java
@@ -17,9 +17,10 @@
         for (long wait = 0; wait <= 60_000; wait += 250) {
             for (long silent = 0; silent <= wait; silent += 250) {
                 long told = Math.max(silent + 6_000, wait + 2_000);
-                assertTrue(CallPace.patience(wait) <= told - 1_500, "wait " + wait + ", silent at " + silent);
+                assertTrue(new CallPace(3, false, 1).patience(wait) <= told - 1_500,
+                    "wait " + wait + ", silent at " + silent);
             }
-            assertTrue(CallPace.patience(wait) >= wait + 500,
+            assertTrue(new CallPace(3, wait > 0, 1).patience(wait) >= wait + 500,
                 "an answer at the end of the wait has to arrive");
         }
     }
@@ -30,7 +31,7 @@
         for (int nodes = 1; nodes <= 12; nodes++) {
             double calls = 0;
             for (int node = 0; node < nodes; node++) {
-                CallPace pace = new CallPace(nodes, node);
+                CallPace pace = new CallPace(nodes, false, node);
                 for (int i = 0; i < 100; i++) {
                     calls += 10.0 / pace.nextWait();
                 }
@@ -41,10 +42,10 @@
 
     @Test
     public void waitsThatBeganTogetherEndApart() {
-        assertEquals(new CallPace(3, 1).nextWait(), 5_000);
+        assertEquals(new CallPace(3, false, 1).nextWait(), 5_000);
         long[] waits = new long[14];
         for (int node = 0; node < waits.length; node++) {
-            waits[node] = new CallPace(14, node * 7919L).nextWait();
+            waits[node] = new CallPace(14, false, node * 7919L).nextWait();
             assertTrue(waits[node] >= 12_000 && waits[node] <= 15_000, "waits " + waits[node]);
         }
         assertTrue(java.util.Arrays.stream(waits).distinct().count() > 7);
--- a/src/test/java/gorserill/protocol/http/HttpWatchTest.java
+++ b/src/test/java/gorserill/protocol/http/HttpWatchTest.java
@@ -27,6 +27,7 @@
     @BeforeMethod
     public void start() throws Exception {
         live = new LiveCore(100, true);
+        live.stopClock();
         discovery = new StandInWorkers(1);
     }
 
@@ -38,11 +39,11 @@
         failed.clear();
     }
 
-    private HttpWatch watch(Listing known) throws Exception {
+    private HttpWatch watch(Listing known, boolean pushed) throws Exception {
         return live.on(() -> {
             HttpWatch watch = new HttpWatch(live.loop, live.transport,
                 live.transport.chain(HttpCodec.client(live.loop, 1_000_000)), discovery.address(0),
-                new CallPace(3, 1), heard::add, () -> failed.add("failed"));
+                new CallPace(3, pushed, 1), heard::add, () -> failed.add("failed"));
             watch.knows(known);
             watch.start();
             return watch;
@@ -70,7 +71,7 @@
      */
     @Test
     public void aWatchThatFallsSilentIsOpenedAnewLongBeforeWhatItMissedCountsAsTold() throws Exception {
-        watch(known(41));
+        watch(known(41), false);
         for (int i = 0; i < 3; i++) {
             assertAsks(discovery.next(), "?index=41&wait=" + WAIT);
             live.forward((Math.max(6_000, WAIT + 2_000) - 1_500) * 1_000);
@@ -86,17 +87,38 @@
     /** The same for a first call for the whole list, which does not wait for news. */
     @Test
     public void aFirstCallThatIsNeverAnsweredIsMadeAnewBeforeSixSeconds() throws Exception {
-        watch(new Listing(0, true, List.of()));
+        watch(new Listing(0, true, List.of()), false);
         assertAsks(discovery.next(), "");
         live.forward(4_500_000);
         assertAsks(discovery.next(), "");
         assertEquals(live.on(() -> List.copyOf(failed)), List.of());
     }
 
+    /** Danger: its word counts as told 4 s after the move, and the first call is not heard. */
+    @Test
+    public void anAgentThatIsMovedToAndSaysNothingIsAskedTwiceMoreWithinFourSeconds() throws Exception {
+        try (StandInWorkers other = new StandInWorkers(1)) {
+            HttpWatch watch = watch(known(41), true);
+            assertAsks(discovery.next(), "?index=41&wait=" + WAIT);
+            live.on(() -> {
+                watch.moveTo(other.address(0));
+                return null;
+            });
+            assertAsks(other.next(), "");
+            live.forward(1_500_000);
+            assertAsks(other.next(), "");
+            live.forward(1_500_000);
+            Accepted third = other.next();
+            assertAsks(third, "");
+            third.answer(list(5, true));
+            assertEquals(heard.poll(5, TimeUnit.SECONDS).index(), 5);
+        }
+    }
+
     /** Danger: changes counted from a lower index leave out what the service lost when it began anew. */
     @Test
     public void aServiceThatCountsFromAnewIsAskedForItsWholeList() throws Exception {
-        watch(known(41));
+        watch(known(41), false);
         Accepted call = discovery.next();
         assertAsks(call, "?index=41&wait=" + WAIT);
         call.answer(list(7, false));
@@ -111,7 +133,7 @@
     @Test
     public void anAnswerThatCrossesTheMoveToAnotherAddressIsNotTaken() throws Exception {
         try (StandInWorkers other = new StandInWorkers(1)) {
-            HttpWatch watch = watch(known(41));
+            HttpWatch watch = watch(known(41), false);
             Accepted call = discovery.next();
             assertAsks(call, "?index=41&wait=" + WAIT);
             live.on(() -> {
--- a/src/test/java/gorserill/protocol/http/LiveCore.java
+++ b/src/test/java/gorserill/protocol/http/LiveCore.java
@@ -43,7 +43,9 @@
     final List<Throwable> faults = new ArrayList<>();
     /** How far the test has put the node's clock forward, in nanoseconds. */
     final AtomicLong ahead = new AtomicLong();
-    final Loop loop = new Loop(faults::add, () -> System.nanoTime() + ahead.get());
+    private volatile long stoppedAt;
+    final Loop loop = new Loop(faults::add,
+        () -> (stoppedAt > 0 ? stoppedAt : System.nanoTime()) + ahead.get());
     final Transport transport;
     final Core core;
     final Room room = new Room(1_000_000);
@@ -51,6 +53,8 @@
     Transport.Listening listening;
     private final HttpWorker.Terms terms;
     private Callable<?> crossing;
+    /** Runs right before an attempt at a crossed port starts. */
+    Callable<?> onStart = () -> null;
 
     LiveCore(int descriptors, boolean mayCancel) throws Exception {
         this(descriptors, mayCancel, SAFE);
@@ -113,6 +117,11 @@
         }
     }
 
+    /** From now on the node's clock stands still but for {@link #forward}. */
+    void stopClock() {
+        stoppedAt = System.nanoTime();
+    }
+
     /** Puts the node's clock forward, between two of its events. */
     void forward(long micros) throws Exception {
         on(() -> ahead.addAndGet(micros * 1_000));
@@ -184,6 +193,11 @@
 
         @Override
         public void start(Attempt attempt, Work work, long expires) {
+            try {
+                onStart.call();
+            } catch (Exception e) {
+                faults.add(e);
+            }
             if (crossing != null) {
                 Callable<?> event = crossing;
                 crossing = null;
--- a/src/test/java/gorserill/protocol/http/StandInWorkers.java
+++ b/src/test/java/gorserill/protocol/http/StandInWorkers.java
@@ -51,6 +51,12 @@
             socket.close();
         }
 
+        /** An answer of one line that names a job. */
+        static String done(String id, String result) {
+            String line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"" + result + "\"}\n";
+            return "HTTP/1.1 200 OK\r\nContent-Length: " + line.length() + "\r\n\r\n" + line;
+        }
+
         /** Does the job at hand. */
         void serve() throws IOException {
             String line = "{\"state\":\"done\",\"result\":\"ok\"}\n";
--- a/src/test/java/gorserill/protocol/http/WriteGateTest.java
+++ b/src/test/java/gorserill/protocol/http/WriteGateTest.java
@@ -96,6 +96,33 @@
         }
     }
 
+    /** Danger: the connection on which it ran rests afterwards, and leads to where the worker was. */
+    @Test
+    public void aWorkerThatMovesWhileAJobRunsGetsTheNextAtItsNewAddress() throws Exception {
+        try (LiveCore live = new LiveCore(100, true); StandInWorkers workers = new StandInWorkers(2)) {
+            HttpWorker port = live.port("w1", workers.address(0));
+            live.on(() -> {
+                live.core.listed(ListKind.WHOLE, List.of(worker(0, WorkerState.READY)), Map.of(1L, port));
+                return null;
+            });
+            CompletableFuture<String> answer = new CompletableFuture<>();
+            live.on(() -> live.take("a-1", answer));
+            Accepted at = workers.next();
+            assertTrue(at.head().contains("X-Txn: a-1\r\n"));
+            live.on(() -> {
+                port.moveTo(workers.address(1));
+                return null;
+            });
+            at.serve();
+            assertEquals(answer.get(5, TimeUnit.SECONDS), "served");
+            CompletableFuture<String> next = new CompletableFuture<>();
+            live.on(() -> live.take("a-2", next));
+            Accepted moved = workers.next();
+            assertEquals(moved.place(), 1);
+            assertTrue(moved.head().contains("X-Txn: a-2\r\n"));
+        }
+    }
+
     @DataProvider
     public Object[][] settings() {
         return new Object[][] {{true}, {false}};
