--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -629,7 +629,7 @@
         ledger.reported(s, now, freeSlots, freeMemory);
         switch (outcome) {
             case SERVED -> learn(a, now);
-            case FULL -> {
+            case REJECTED -> {
                 queued(a);
                 s.credit = Math.min(0, s.credit);
                 bar(s, now, (long) (job.good.run * s.pace / ledger.slots(s)));
--- a/src/main/java/barrowflow/Dispatcher.java
+++ b/src/main/java/barrowflow/Dispatcher.java
@@ -35,7 +35,7 @@
 
     /** How an attempt ended. The first SERVED goes to the client by itself. */
     enum Outcome {
-        SERVED(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
+        SERVED(false), ERROR(false), REJECTED(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
         CANCELLED(false), NOT_SENT(true);
 
         /** True where the outcome proves that the job never ran. */
--- a/src/main/java/barrowflow/adapter/Adapter.java
+++ b/src/main/java/barrowflow/adapter/Adapter.java
@@ -150,7 +150,7 @@
     private void settled(Instance to, int at) {
         Outcome outcome = switch (frame.getShort(at + 16) & 0xffff) {
             case 0 -> Outcome.SERVED;
-            case 11 -> Outcome.FULL;
+            case 11 -> Outcome.REJECTED;
             case 104 -> Outcome.RESET;
             case 110 -> Outcome.TIMEOUT;
             case 111 -> Outcome.CONNECT_FAILED;
--- a/src/main/java/gorserill/program/ClusterPart.java
+++ b/src/main/java/gorserill/program/ClusterPart.java
@@ -17,6 +17,7 @@
 import gorserill.cluster.standing.Standing.End;
 import gorserill.cluster.standing.StandingJob;
 import gorserill.common.Loop;
+import gorserill.routing.AdmissionControl;
 import gorserill.routing.Ask;
 import gorserill.routing.Core;
 import gorserill.routing.Front;
@@ -126,7 +127,7 @@
             spender = null;
         }
         if (door != null || config.retries() != null) {
-            core.door(entry(door));
+            core.admission(entry(door));
         }
         if (address != null) {
             address.member(member);
@@ -159,10 +160,10 @@
     }
 
     /** How the core asks; on its thread. */
-    private gorserill.routing.Door entry(Door budgets) {
+    private AdmissionControl entry(Door budgets) {
         Retries retries = config.retries() == null || config.plants().contains(Member.Plant.RETRIES_UNBOUNDED)
             ? null : new Retries(config.retries().percent() / 100.0, config.retries().saved());
-        return new gorserill.routing.Door() {
+        return new AdmissionControl() {
             @Override
             public long enter(long now, int jobClass, int tenant) {
                 return budgets == null ? 0 : budgets.enter(now, jobClass, tenant);
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -37,7 +37,10 @@
 final class Node {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     private static final int MAX_LISTING = 4 * 1024 * 1024;
-    /** A node without discovery serves from the list it knew so long after it opened. */
+    /**
+     * A node without discovery serves from the list it knew so long after it opened. Danger: what an agent
+     * has counts as told from the first moment, so its first word is waited for as long as it could come.
+     */
     private static final long FIRST_LIST = 50_000;
     /** An address that is still in use is tried this often. */
     private static final long BIND_AGAIN = 100_000;
@@ -185,7 +188,8 @@
         loop.execute(() -> opened = true);
         // Danger: a node that knows of no worker would draw clients and refuse them all.
         if (config.known != null && !config.known.entries().isEmpty()) {
-            loop.execute(() -> loop.at(loop.now() + FIRST_LIST, () -> ready("no word from discovery yet")));
+            long first = config.settings.listOnRequest() ? FIRST_LIST : CallPace.AGENT * 1_000;
+            loop.execute(() -> loop.at(loop.now() + first, () -> ready("no word from discovery yet")));
         }
     }
 
--- a/src/main/java/gorserill/protocol/discovery/CallPace.java
+++ b/src/main/java/gorserill/protocol/discovery/CallPace.java
@@ -20,7 +20,7 @@
     /** Kept of that for a new connection, the call on it and its turn. */
     private static final long RELEARN = 1_500;
     /** An agent on the node's own machine has answered by then, or never will. */
-    private static final long AGENT = 1_500;
+    public static final long AGENT = 1_500;
     /** From so many nodes on, waits grow with their number. */
     private static final int FEW_NODES = 4;
     /** Waits differ by up to this part, so that those that began with the same news don't end together. */
@@ -40,6 +40,15 @@
         random = new SplittableRandom(seed);
     }
 
+    /**
+     * Whether a node that knows a list begins with a call for the whole, which is always answered at once.
+     * Danger: what an agent beside the node has counts as told from the node's first moment; a call for what
+     * is new would leave open whether there is nothing new or nothing heard.
+     */
+    public boolean startsWhole() {
+        return pushed;
+    }
+
     /**
      * How long a call's answer is waited for. Danger: a connection can fall silent, and what was missed then
      * counts as told 6 s after that, or 2 s after the call's wait is over if that is later. The silence may
--- a/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
@@ -100,7 +100,7 @@
         String jid = work.id();
         // A word on a job is told apart by its jid alone, so a worker holds no two jobs of one.
         if (gone || reservations.containsKey(jid) || givenUp.contains(jid) || waiting.size() >= mostSlots) {
-            loop.execute(() -> attempt.ended(Outcome.FULL, null, free(0)));
+            loop.execute(() -> attempt.ended(Outcome.REJECTED, null, free(0)));
             return;
         }
         Waiting next = waiting(attempt, work);
@@ -115,7 +115,7 @@
         waiting.add(next);
         next.end = loop.at(Math.min(expires, loop.now() + PATIENCE), () -> {
             waiting.remove(next);
-            attempt.ended(Outcome.FULL, null, free(0));
+            attempt.ended(Outcome.REJECTED, null, free(0));
         });
     }
 
--- a/src/main/java/gorserill/protocol/http/HttpWatch.java
+++ b/src/main/java/gorserill/protocol/http/HttpWatch.java
@@ -72,12 +72,12 @@
     }
 
     /**
-     * The node starts with this list, and asks for what is new since. Danger: whole lists for nodes that
-     * start together keep a service that takes its callers in turn busy with what they know, and each call
-     * that it turns away leaves a node without a watch.
+     * The node starts with this list. Danger: whole lists for nodes that start together keep a service that
+     * takes its callers in turn busy with what they know, and each call that it turns away leaves a node
+     * without a watch; so there it is asked for what is new since.
      */
     public void knows(Listing known) {
-        if (!known.entries().isEmpty()) {
+        if (!known.entries().isEmpty() && !pace.startsWhole()) {
             index = known.index();
             whole = false;
         }
--- a/src/main/java/gorserill/protocol/http/HttpWorker.java
+++ b/src/main/java/gorserill/protocol/http/HttpWorker.java
@@ -352,7 +352,7 @@
                     terms.complaints().add(Integer.toString(answer.status()),
                         "worker " + name + ": request " + attempt.requestId());
                 }
-                finish(away ? Outcome.FULL : Outcome.ERROR, null,
+                finish(away ? Outcome.REJECTED : Outcome.ERROR, null,
                     JobEvent.load(answer.header("x-pressure"), terms.reports()));
             }
         }
@@ -404,7 +404,7 @@
                 case "started" -> attempt.started();
                 case "done" -> finish(Outcome.SERVED, event.result(), load);
                 case "failed" -> finish(Outcome.ERROR, null, load);
-                case "returned" -> finish(Outcome.FULL, null, load);
+                case "returned" -> finish(Outcome.REJECTED, null, load);
                 case "lost" -> finish(Outcome.RESET, null, load);
                 default -> { }
             }
--- a/src/main/java/gorserill/routing/Door.java
+++ b/src/main/java/gorserill/routing/AdmissionControl.java
@@ -2,7 +2,7 @@
 
 /** Says whether a job may be taken at all, before anything is decided of it; called on the core's thread. */
 @FunctionalInterface
-public interface Door {
+public interface AdmissionControl {
     /** An attempt at a job is about to be made; whether it may be. A job's first one always may. */
     default boolean attempt(boolean first) {
         return true;
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -54,7 +54,7 @@
     private Runnable whenIdle;
     private Consumer<byte[]> peers = message -> { };
     private BooleanSupplier crowded = () -> false;
-    private Door door = (now, jobClass, tenant) -> 0;
+    private AdmissionControl admission = (now, jobClass, tenant) -> 0;
     private final Complaints complaints;
 
     /** The same for a process that has no siblings. */
@@ -102,7 +102,7 @@
         openIds.add(work.id());
         siblings.opened(work.id());
         boolean full = crowded.getAsBoolean();
-        long wait = full || expires <= now ? 0 : door.enter(now, work.jobClass(), ask.tenant());
+        long wait = full || expires <= now ? 0 : admission.enter(now, work.jobClass(), ask.tenant());
         if (expires <= now || full || wait > 0) {
             // Danger: without a descriptor for a worker it would only wait for its time to run out.
             if (full) {
@@ -147,7 +147,8 @@
 
     private void tell(ListKind kind, List<Worker> all) {
         module.workers(now(), kind, all);
-        Set<Long> before = Set.copyOf(inService);
+        // Danger: one that drains may have ended a job since it was told of first; its connection rests now.
+        Set<Long> named = new HashSet<>(inService);
         if (kind == ListKind.WHOLE || kind == ListKind.CACHED) {
             inService.clear();
         }
@@ -156,9 +157,10 @@
                 inService.add(worker.id());
             } else {
                 inService.remove(worker.id());
+                named.add(worker.id());
             }
         }
-        for (long worker : before) {
+        for (long worker : named) {
             if (!inService.contains(worker)) {
                 ports.get(worker).outOfService();
             }
@@ -231,8 +233,8 @@
     }
 
     /** Asks there for each job whether it may be taken; jobs of the node's own included. */
-    public void door(Door its) {
-        door = its;
+    public void admission(AdmissionControl its) {
+        admission = its;
     }
 
     /** Where messages to all other nodes go. */
@@ -404,7 +406,7 @@
             loop.execute(() -> ended(attempt, Outcome.NOT_SENT, null, Load.NONE));
             return;
         }
-        if (!door.attempt(attempt.number == 0)) {
+        if (!admission.attempt(attempt.number == 0)) {
             // Danger: left out of the module's count, it would be tried at each worker in turn, for ever.
             loop.execute(() -> ended(attempt, Outcome.NOT_SENT, null, Load.NONE));
             return;
--- a/src/test/java/gorserill/program/Fixture.java
+++ b/src/test/java/gorserill/program/Fixture.java
@@ -49,6 +49,12 @@
         return this;
     }
 
+    /** Lists are pushed to an agent beside the node. */
+    Fixture pushed() throws IOException {
+        Files.writeString(config, Files.readString(config).replace("\"on_request\"", "\"pushed\""));
+        return this;
+    }
+
     /** The node is told of two tenants, {@code ana} and {@code ben}, with so many jobs a second each. */
     Fixture withTenants(int perSecond) throws IOException {
         String tenants = "\"over_share_worth\":0.05,\"tenants\":[{\"name\":\"ana\",\"quota_per_s\":"
--- a/src/test/java/gorserill/program/ScenariosTest.java
+++ b/src/test/java/gorserill/program/ScenariosTest.java
@@ -65,6 +65,9 @@
             if (script.setting("tenants", 0) > 0) {
                 fixture.withTenants(script.setting("tenants", 0));
             }
+            if (script.setting("pushed", 0) > 0) {
+                fixture.pushed();
+            }
             scenario.front("clients", fixture.clients);
             scenario.front("faktory", fixture.faktory);
             if (script.setting("operators", 0) > 0) {
