--- a/src/main/java/barrowflow/Choice.java
+++ b/src/main/java/barrowflow/Choice.java
@@ -664,7 +664,7 @@
         boolean free = !a.queued && a.job.key == 0;
         s.credit += (free ? a.expected : Math.max(0, a.expected - run)) * a.job.slots;
         ledger.learn(a, run);
-        s.credit = free ? Math.max(s.credit, s.cost(g)) : s.credit;
+        s.credit = free && s.share < 1 ? Math.max(s.credit, s.cost(g)) : s.credit;
     }
 
     /** Danger: a worker that fails fast would draw jobs; each failure in a row doubles its bar. */
