--- a/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
@@ -106,8 +106,9 @@
         Waiting next = waiting(attempt, work);
         for (Fetcher fetcher : fetchers) {
             if (fetcher.queues().contains(next.queue)) {
-                if (reserve(next, fetcher)) {
-                    fetchers.remove(fetcher);
+                fetchers.remove(fetcher);
+                if (!reserve(next, fetcher)) {
+                    fetchers.add(fetcher);
                 }
                 return;
             }
