--- a/review/lib/review/Rig.java
+++ b/review/lib/review/Rig.java
@@ -81,7 +81,7 @@
             status = held ? 0 : 1;
         } catch (CannotRun e) {
             rig.log("could not run: " + e.getMessage());
-        } catch (Exception e) {
+        } catch (Exception | LinkageError | OutOfMemoryError e) {
             e.printStackTrace();
             if (rig != null) {
                 rig.log("could not run: " + e);
