Review case 2: draw each job's work independently of the ids beside it

Cause: on a second machine the script held in one of five runs. The stand-in drew the work of class alerta with java.util.Random, seeded with the hash of the request's id. Ids follow each other, and the first draws of such seeds are nearly equal, so all jobs of one run were short (90 ms) and of another long, in place of exponential with a mean of 670 ms.

Change: SplittableRandom, seeded with the id. Ten nodes that start side by side have 30 s to be ready (20 before). Check, bounds and disruption are unchanged.

--- a/review/lib/review/PlannedEnd.java
+++ b/review/lib/review/PlannedEnd.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -76,7 +77,8 @@
      * same for an id on each run.
      */
     private static long work(Http.Message request) {
-        Random random = new Random(request.header("x-txn").hashCode());
+        // Not Random, whose first draws for ids that follow each other are nearly the same.
+        SplittableRandom random = new SplittableRandom(Long.parseUnsignedLong(request.header("x-txn"), 16));
         return (long) (670 * (request.header("x-lane").equals("historial")
                 ? Math.exp(0.547 * random.nextGaussian() - 0.149)
                 : -Math.log(1 - random.nextDouble())));
@@ -169,7 +171,7 @@
             node.start();
         }
         for (Rig.Node node : nodes) {
-            node.awaitReady(20_000);
+            node.awaitReady(30_000);
         }
         // The address may move while nodes still come in.
         Rig.sleep(3_000);
