--- a/review/lib/review/PlannedEnd.java
+++ b/review/lib/review/PlannedEnd.java
@@ -223,9 +223,10 @@
         if (!registry.value().endsWith(":" + ending.clients)) {
             throw new Rig.CannotRun("the service address has moved");
         }
-        termAt = rig.now();
         ending.signal("TERM");
-        boolean ended = ending.awaitEnd(KILL_AFTER_MS - (rig.now() - termAt));
+        // After it was sent, so that no limit of the pages is cut short by the time that sending takes.
+        termAt = rig.now();
+        boolean ended = ending.awaitEnd(KILL_AFTER_MS);
         long killAt = rig.now();
         if (!ended) {
             ending.signal("KILL");
