--- a/review/lib-2/src/RefusedPushes.java
+++ b/review/lib-2/src/RefusedPushes.java
@@ -5,7 +5,7 @@
 
 /** A Faktory client whose jobs are beyond a budget, and after it clients that send many commands at once. */
 final class RefusedPushes {
-    private static final int BODY = 64_000;
+    private static final int BODY = 60_000;
     private static final int PUSHED = 700;
     /** Clients that push one job after another, each this long after its last: some tens a second together. */
     private static final int CLIENTS = 12;
@@ -16,8 +16,8 @@
 
     private static final int SLOTS = 5;
     private static final int RUN_MILLIS = 400;
-    private static final int CONNECTIONS = 20;
-    private static final int COMMANDS = 62;
+    private static final int CONNECTIONS = 12;
+    private static final int COMMANDS = 60;
 
     private RefusedPushes() {}
 
