Faktory: release the memory of a job that is refused at once only once

Cause: Push.answer released the memory of the command's line. When the core answers inside submit, pendingPush is null on return, and processQueued released the same bytes again. Each refusal at once widened the limit on bodies for good. A command that failed with a RuntimeException, on the other hand, never released its memory.

Change: the codec makes a MemoryBudget.Reservation for each message, which travels with the message and can be released once only. Both frontends use it, so no path can release by a number of its own. The command loop releases in a finally block.

--- a/src/main/java/gorserill/common/MemoryBudget.java
+++ b/src/main/java/gorserill/common/MemoryBudget.java
@@ -15,20 +15,41 @@
         this.limit = limit;
     }
 
-    /** Reserves memory; returns false and reserves nothing if the budget is exhausted. */
-    public boolean tryReserve(long bytes) {
-        if (used.addAndGet(bytes) <= limit) {
-            return true;
-        }
-        used.addAndGet(-bytes);
-        return false;
-    }
-
-    public void release(long bytes) {
-        used.addAndGet(-bytes);
+    /** Creates a reservation that holds no memory yet. */
+    public Reservation newReservation() {
+        return new Reservation();
     }
 
     public long used() {
         return used.get();
     }
+
+    /** The memory that one message holds, from its first byte until it has been answered. Thread-safe. */
+    public final class Reservation {
+        private long bytes;
+        private boolean released;
+
+        private Reservation() {}
+
+        /** Reserves more memory; returns false and reserves nothing if the budget is exhausted. */
+        public synchronized boolean tryGrow(long moreBytes) {
+            if (released) {
+                return false;
+            }
+            if (used.addAndGet(moreBytes) > limit) {
+                used.addAndGet(-moreBytes);
+                return false;
+            }
+            bytes += moreBytes;
+            return true;
+        }
+
+        /** Returns the memory to the budget, once: further calls do nothing, so that the limit can't grow by them. */
+        public synchronized void release() {
+            if (!released) {
+                released = true;
+                used.addAndGet(-bytes);
+            }
+        }
+    }
 }
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -154,12 +154,11 @@
                     tenants,
                     new ContractGate(loop, config.maxDedupWindowMicros(), mismatchWarnings),
                     config.seed,
-                    bodyBudget,
                     bans::contains);
         }
         httpGate = new ContractGate(loop, config.maxDedupWindowMicros(), mismatchWarnings);
         httpGate.replace(config.contract);
-        httpFrontend = new HttpFrontend(loop, core, config.jobClassInfo(), tenants, httpGate, bodyBudget);
+        httpFrontend = new HttpFrontend(loop, core, config.jobClassInfo(), tenants, httpGate);
         lifecycle = new Lifecycle(
                 loop,
                 config.name,
--- a/src/main/java/gorserill/protocol/faktory/FaktoryCodec.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryCodec.java
@@ -33,18 +33,24 @@
     /** Decoder state of a connection; guarded by its own monitor. */
     private static final class State {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
+        /** Holds the memory of {@link #line}. */
+        MemoryBudget.Reservation reservation;
         /** Set after a frame error or at the end of the connection; further input is ignored. */
         boolean closed;
         /** Whether the last read ended within a line. */
         boolean partial;
+
+        State(MemoryBudget.Reservation reservation) {
+            this.reservation = reservation;
+        }
     }
 
     /**
      * A command line.
      *
-     * @param sizeBytes charged to the memory budget; the receiver releases it once the command has been processed
+     * @param reservation the memory that the line holds; the receiver releases it once the command has been processed
      */
-    record Line(String text, int sizeBytes) {}
+    record Line(String text, MemoryBudget.Reservation reservation) {}
 
     /** Reports input that can't be decoded into a command line. */
     static final class FrameException extends Exception {
@@ -64,7 +70,7 @@
     public NextAction handleRead(FilterChainContext ctx) {
         State state = states.get(ctx.getConnection());
         if (state == null) {
-            state = new State();
+            state = new State(memoryBudget.newReservation());
             states.set(ctx.getConnection(), state);
             State connectionState = state;
             ((Closeable) ctx.getConnection()).addCloseListener((connection, type) -> end(connectionState));
@@ -95,7 +101,7 @@
     }
 
     private void dropLine(State state) {
-        memoryBudget.release(state.line.size());
+        state.reservation.release();
         state.line = new ByteArrayOutputStream();
     }
 
@@ -111,11 +117,12 @@
         while (in.hasRemaining() && !state.closed) {
             byte b = in.get();
             if (b == '\n') {
-                out.add(new Line(text(state.line.toByteArray()), state.line.size()));
+                out.add(new Line(text(state.line.toByteArray()), state.reservation));
                 state.line = new ByteArrayOutputStream();
+                state.reservation = memoryBudget.newReservation();
             } else if (state.line.size() >= MAX_LINE_BYTES) {
                 throw new FrameException("a line of more than " + MAX_LINE_BYTES + " bytes");
-            } else if (!memoryBudget.tryReserve(1)) {
+            } else if (!state.reservation.tryGrow(1)) {
                 throw new FrameException("no room for more jobs at present");
             } else {
                 state.line.write(b);
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
@@ -81,7 +81,6 @@
     private final Core core;
     private final Tenants tenants;
     private final long nodeSeed;
-    private final MemoryBudget memoryBudget;
     private final ThrottledWarnings warnings;
     private final Predicate<String> isBanned;
     private final ContractGate gate;
@@ -154,7 +153,6 @@
      * @param gate validates jobs against the contract, if one is configured
      * @param seed makes the global ids of this node's workers differ from those of other nodes; also seeds the salts
      *     sent in HI
-     * @param memoryBudget charged by the codec for each line; released here once the command has been processed
      * @param isBanned whether operators have taken the worker with this wid out of service
      */
     public FaktoryFrontend(
@@ -164,7 +162,6 @@
             Tenants tenants,
             ContractGate gate,
             long seed,
-            MemoryBudget memoryBudget,
             Predicate<String> isBanned) {
         this.tenants = tenants;
         nodeSeed = seed;
@@ -172,7 +169,6 @@
         gate.replace(settings.contract());
         this.isBanned = isBanned;
         this.loop = loop;
-        this.memoryBudget = memoryBudget;
         warnings = new ThrottledWarnings(loop, LOG, "faktory connections");
         this.core = core;
         this.settings = settings;
@@ -275,8 +271,8 @@
         private Deadline closeTimeout;
         /** Time limit for HELLO, or for the rest of a partial line. */
         private Deadline lineTimeout;
-        /** Memory charged for the current command. */
-        private int sizeBytes;
+        /** Memory held by the current command. */
+        private MemoryBudget.Reservation reservation;
 
         @Override
         public void opened(Channel opened) {
@@ -334,7 +330,7 @@
                 queuedCommands.add(line);
                 return;
             }
-            memoryBudget.release(line.sizeBytes());
+            line.reservation().release();
             if (!ended) {
                 refuse("more than " + MAX_QUEUED_COMMANDS + " commands without waiting for their replies", true);
             }
@@ -344,7 +340,7 @@
             while (!ended && pendingPush == null && fetchTimeout == null && !queuedCommands.isEmpty()) {
                 FaktoryCodec.Line next = queuedCommands.remove();
                 String line = next.text();
-                sizeBytes = next.sizeBytes();
+                reservation = next.reservation();
                 int space = line.indexOf(' ');
                 commandCount++;
                 try {
@@ -356,9 +352,10 @@
                             "malformed " + (space < 0 ? line : line.substring(0, space)) + ": "
                                     + e.getMessage().lines().findFirst().orElse(""),
                             false);
-                }
-                if (pendingPush == null) {
-                    memoryBudget.release(sizeBytes);
+                } finally {
+                    if (pendingPush == null) {
+                        reservation.release();
+                    }
                 }
             }
             if (!ended && pendingPush == null && fetchTimeout == null && registration == null) {
@@ -499,7 +496,7 @@
                     this,
                     job.jid(),
                     jobClass.unsafe() || jobContract != null && jobContract.effect() == Effect.UNSAFE,
-                    sizeBytes);
+                    reservation);
             pendingPush = submitted;
             long handle = core.submit(
                     submitted,
@@ -641,7 +638,7 @@
         }
 
         private void discardQueued() {
-            queuedCommands.forEach(line -> memoryBudget.release(line.sizeBytes()));
+            queuedCommands.forEach(line -> line.reservation().release());
             queuedCommands.clear();
         }
 
@@ -673,11 +670,11 @@
         private final Session session;
         private final String jid;
         private final boolean unsafe;
-        private final int sizeBytes;
+        private final MemoryBudget.Reservation reservation;
         private long handle;
 
-        Push(Session session, String jid, boolean unsafe, int sizeBytes) {
-            this.sizeBytes = sizeBytes;
+        Push(Session session, String jid, boolean unsafe, MemoryBudget.Reservation reservation) {
+            this.reservation = reservation;
             this.session = session;
             this.jid = jid;
             this.unsafe = unsafe;
@@ -715,7 +712,7 @@
         }
 
         private void answer(byte[] reply) {
-            memoryBudget.release(sizeBytes);
+            reservation.release();
             session.pendingPush = null;
             if (intake != IntakeMode.OPEN && session.registration == null) {
                 session.replyAndClose(reply);
@@ -730,7 +727,7 @@
          * reported to the client; if an unsafe job may have run, a repeated PUSH of it is answered with -ERR.
          */
         void abandon() {
-            memoryBudget.release(sizeBytes);
+            reservation.release();
             if (core.withdraw(handle)) {
                 recordOutcome(false);
             }
--- a/src/main/java/gorserill/protocol/http/HttpCodec.java
+++ b/src/main/java/gorserill/protocol/http/HttpCodec.java
@@ -42,13 +42,17 @@
     private static final class State {
         final HttpParser parser;
         ByteArrayOutputStream body = new ByteArrayOutputStream();
+        /** Holds the memory of {@link #body}; null in the client role. */
+        MemoryBudget.Reservation reservation;
+
         boolean failed;
         boolean incomplete;
         /** The current message is an interim response (1xx), which is not passed on. */
         boolean interim;
 
-        State(HttpParser parser) {
+        State(HttpParser parser, MemoryBudget.Reservation reservation) {
             this.parser = parser;
+            this.reservation = reservation;
         }
     }
 
@@ -63,7 +67,7 @@
      * Creates a codec in the server role, which reads requests.
      *
      * @param arrival supplies the earliest possible arrival time of the input, in microseconds of the loop's clock
-     * @param bodyBudget memory budget for bodies; the receiver of a request frees its share after use
+     * @param bodyBudget memory budget for bodies; the receiver of a request releases its reservation after use
      */
     public static HttpCodec server(LongSupplier arrival, int maxBodyBytes, MemoryBudget bodyBudget) {
         return new HttpCodec(arrival, false, maxBodyBytes, bodyBudget);
@@ -78,7 +82,7 @@
     public NextAction handleRead(FilterChainContext ctx) {
         State state = states.get(ctx.getConnection());
         if (state == null) {
-            state = new State(new HttpParser(responses, maxBodyBytes));
+            state = new State(new HttpParser(responses, maxBodyBytes), newReservation());
             states.set(ctx.getConnection(), state);
             State closing = state;
             ((Closeable) ctx.getConnection()).addCloseListener((connection, type) -> onClose(closing));
@@ -128,7 +132,7 @@
                 case DATA -> {
                     if (responses) {
                         out.add(state.parser.data());
-                    } else if (bodyBudget.tryReserve(state.parser.data().length)) {
+                    } else if (state.reservation.tryGrow(state.parser.data().length)) {
                         state.body.writeBytes(state.parser.data());
                     } else {
                         throw new HttpException(503, "no room for more bodies at present");
@@ -136,7 +140,9 @@
                 }
                 default -> {
                     if (!responses) {
-                        out.add(new HttpRequest(head, state.body.toByteArray(), arrival.getAsLong()));
+                        out.add(new HttpRequest(
+                                head, state.body.toByteArray(), state.reservation, arrival.getAsLong()));
+                        state.reservation = newReservation();
                     } else if (!state.interim) {
                         out.add(END_OF_RESPONSE);
                     }
@@ -146,15 +152,19 @@
         }
     }
 
-    private void discardBody(State state) {
-        if (bodyBudget != null) {
-            bodyBudget.release(state.body.size());
+    private MemoryBudget.Reservation newReservation() {
+        return bodyBudget == null ? null : bodyBudget.newReservation();
+    }
+
+    private static void discardBody(State state) {
+        if (state.reservation != null) {
+            state.reservation.release();
         }
         state.body = new ByteArrayOutputStream();
     }
 
     /** Releases the body's memory; runs on any thread, when the connection closes. */
-    private void onClose(State state) {
+    private static void onClose(State state) {
         synchronized (state) {
             state.failed = true;
             discardBody(state);
--- a/src/main/java/gorserill/protocol/http/HttpFrontend.java
+++ b/src/main/java/gorserill/protocol/http/HttpFrontend.java
@@ -2,7 +2,6 @@
 
 import gorserill.common.Deadlines.Deadline;
 import gorserill.common.Loop;
-import gorserill.common.MemoryBudget;
 import gorserill.common.ThrottledWarnings;
 import gorserill.contract.Door;
 import gorserill.contract.Problem;
@@ -53,7 +52,6 @@
     private final Map<String, JobClassInfo> classes;
     private final Tenants tenants;
     private final ContractGate gate;
-    private final MemoryBudget bodyBudget;
     private final ThrottledWarnings warnings;
     private final Map<Integer, ClientWaitTracker> waitTrackers = new HashMap<>();
     private final Set<ClientConnection> clients = new HashSet<>();
@@ -63,21 +61,13 @@
     /**
      * @param tenants the tenants that {@code X-Org} can name
      * @param gate checks requests against the contract, if there is one
-     * @param bodyBudget memory budget for bodies; the codec reserves memory, and this class frees it after each request
      */
-    public HttpFrontend(
-            Loop loop,
-            Core core,
-            Map<String, JobClassInfo> classes,
-            Tenants tenants,
-            ContractGate gate,
-            MemoryBudget bodyBudget) {
+    public HttpFrontend(Loop loop, Core core, Map<String, JobClassInfo> classes, Tenants tenants, ContractGate gate) {
         this.loop = loop;
         this.core = core;
         this.classes = classes;
         this.tenants = tenants;
         this.gate = gate;
-        this.bodyBudget = bodyBudget;
         warnings = new ThrottledWarnings(loop, LOG, "clients turned away");
     }
 
@@ -153,13 +143,15 @@
         public void received(Object messages) {
             for (Object message : (List<Object>) messages) {
                 if (closing) {
-                    bodyBudget.release(message instanceof HttpRequest discarded ? discarded.body().length : 0);
+                    if (message instanceof HttpRequest discarded) {
+                        discarded.reservation().release();
+                    }
                 } else if (message == PARTIAL_MESSAGE) {
                     onRequestStarted();
                 } else if (message instanceof HttpException error) {
                     rejectMalformed(error.status(), error.getMessage());
                 } else if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
-                    bodyBudget.release(((HttpRequest) message).body().length);
+                    ((HttpRequest) message).reservation().release();
                     rejectMalformed(
                             400, "more than " + MAX_PIPELINED_REQUESTS + " requests without waiting for their answers");
                 } else {
@@ -220,13 +212,15 @@
 
         private void releaseAll() {
             releaseCurrent();
-            pendingRequests.forEach(request -> bodyBudget.release(request.body().length));
+            pendingRequests.forEach(request -> request.reservation().release());
             pendingRequests.clear();
         }
 
         private void releaseCurrent() {
-            bodyBudget.release(current == null ? 0 : current.body().length);
-            current = null;
+            if (current != null) {
+                current.reservation().release();
+                current = null;
+            }
         }
 
         private void processNext() {
--- a/src/test/java/gorserill/protocol/http/ClientLeftTest.java
+++ b/src/test/java/gorserill/protocol/http/ClientLeftTest.java
@@ -9,13 +9,6 @@
 import barrowflow.Dispatcher.ListKind;
 import barrowflow.Dispatcher.Worker;
 import barrowflow.Dispatcher.WorkerState;
-import gorserill.common.ThrottledWarnings;
-import gorserill.protocol.ContractGate;
-import gorserill.protocol.JobClassInfo;
-import gorserill.protocol.Tenants;
-import gorserill.protocol.faktory.FaktoryCodec;
-import gorserill.protocol.faktory.FaktoryFrontend;
-import gorserill.protocol.faktory.FaktorySettings;
 import gorserill.protocol.http.FakeServers.AcceptedConnection;
 import gorserill.routing.JobSpec;
 import gorserill.routing.RequestOptions;
@@ -34,7 +27,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Logger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -367,7 +359,7 @@
     @Test
     public void pushedFaktoryJobQueuedForLoopIsNotStarted() throws Exception {
         AcceptedConnection[] idle = openIdle(1);
-        InetSocketAddress faktory = listenFaktory();
+        InetSocketAddress faktory = fixture.listenFaktory();
         Socket client = connect(faktory);
         client.getOutputStream().write(HttpMessageBuilder.ascii("HELLO {\"v\":2}\r\n"));
         awaitText(client, "+OK\r\n");
@@ -421,33 +413,6 @@
         }
     }
 
-    private InetSocketAddress listenFaktory() throws Exception {
-        InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-        FaktorySettings terms = new FaktorySettings(
-                to,
-                "",
-                Map.of("default", "estado"),
-                Map.of("estado", "estado"),
-                List.of("estado"),
-                Map.of("estado", new JobClassInfo(0, 2_000_000, false, false)),
-                null);
-        FaktoryFrontend frontend = fixture.runOnLoop(() -> new FaktoryFrontend(
-                fixture.loop,
-                fixture.core,
-                terms,
-                new Tenants(List.of()),
-                new ContractGate(
-                        fixture.loop,
-                        0,
-                        new ThrottledWarnings(
-                                fixture.loop, Logger.getLogger(ClientLeftTest.class.getName()), "answers")),
-                1,
-                fixture.memoryBudget,
-                wid -> false));
-        fixture.transport.listen(to, new FaktoryCodec(fixture.memoryBudget), frontend::accept);
-        return to;
-    }
-
     private static JobSpec jobSpec(String id, int size) {
         return new JobSpec(id, 0, null, null, null, new byte[size]);
     }
--- a/src/test/java/gorserill/protocol/http/CoreFixture.java
+++ b/src/test/java/gorserill/protocol/http/CoreFixture.java
@@ -12,6 +12,9 @@
 import gorserill.protocol.ContractGate;
 import gorserill.protocol.JobClassInfo;
 import gorserill.protocol.Tenants;
+import gorserill.protocol.faktory.FaktoryCodec;
+import gorserill.protocol.faktory.FaktoryFrontend;
+import gorserill.protocol.faktory.FaktorySettings;
 import gorserill.routing.Attempt;
 import gorserill.routing.Core;
 import gorserill.routing.JobSpec;
@@ -110,13 +113,35 @@
                 core,
                 Map.of("estado", new JobClassInfo(0, 2_000_000, false, false)),
                 new Tenants(List.of()),
-                new ContractGate(loop, 0, workerConfig.warnings()),
-                memoryBudget));
+                new ContractGate(loop, 0, workerConfig.warnings())));
         InetSocketAddress address = ReservedPort.reserveUntilExit();
         listener = transport.listen(address, codec, frontend::accept);
         return address;
     }
 
+    /** Starts the Faktory frontend, whose only queue is {@code default}, on a reserved loopback port. */
+    InetSocketAddress listenFaktory() throws Exception {
+        InetSocketAddress address = ReservedPort.reserveUntilExit();
+        FaktorySettings settings = new FaktorySettings(
+                address,
+                "",
+                Map.of("default", "estado"),
+                Map.of("estado", "estado"),
+                List.of("estado"),
+                Map.of("estado", new JobClassInfo(0, 2_000_000, false, false)),
+                null);
+        FaktoryFrontend faktory = runOnLoop(() -> new FaktoryFrontend(
+                loop,
+                core,
+                settings,
+                new Tenants(List.of()),
+                new ContractGate(loop, 0, workerConfig.warnings()),
+                1,
+                wid -> false));
+        transport.listen(address, new FaktoryCodec(memoryBudget), faktory::accept);
+        return address;
+    }
+
     /** An HTTP request with this job id, as clients send it. */
     static byte[] request(String id) {
         return HttpMessageBuilder.ascii("POST /estado HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
