Contracts: a reload that the heap has no room for is refused, not fatal

Cause: nothing bounded what reading a description allocates beside the contract in force and the requests. One contract of 600 operations held 24 MB, 10 MB of it the description's tree, which only reading needs; the start's configuration kept the first contract for ever; and each SIGHUP built an unchanged contract again.

Change: reading announces its allocations to a Headroom; HeapHeadroom stops it while the unused part of the memory for bodies is still free, and the reload fails with a message that says so. The tree is dropped before the validators are made, property types are shared, the configuration lets go of its contracts, and files with the same text are not read again.

The contract tests pass.

--- a/src/main/java/gorserill/common/MemoryBudget.java
+++ b/src/main/java/gorserill/common/MemoryBudget.java
@@ -24,6 +24,11 @@
         return used.get();
     }
 
+    /** Bytes that can still be reserved. */
+    public long unused() {
+        return limit - used.get();
+    }
+
     /** The memory that one message holds, from its first byte until it has been answered. Thread-safe. */
     public final class Reservation {
         private long bytes;
--- a/src/main/java/gorserill/contract/Contract.java
+++ b/src/main/java/gorserill/contract/Contract.java
@@ -1,5 +1,6 @@
 package gorserill.contract;
 
+import gorserill.contract.read.SourceFiles;
 import gorserill.contract.schema.SchemaBundle;
 import java.util.List;
 import java.util.Map;
@@ -17,25 +18,25 @@
     private final Kind kind;
     private final String title;
     private final String version;
-    private final String fingerprint;
+    private final SourceFiles sourceFiles;
     private final SchemaBundle schemas;
     private final List<Operation> operations;
     private final Templates<Map<String, Operation>> byAddress;
 
     /**
-     * @param fingerprint of the text of all files that it was read from
+     * @param sourceFiles the files that it was read from
      * @param byAddress operations by method; by "" for channels
      */
     Contract(
             Kind kind,
             String title,
             String version,
-            String fingerprint,
+            SourceFiles sourceFiles,
             List<Operation> operations,
             Templates<Map<String, Operation>> byAddress,
             SchemaBundle schemas) {
         this.schemas = schemas;
-        this.fingerprint = fingerprint;
+        this.sourceFiles = sourceFiles;
         this.kind = kind;
         this.title = title;
         this.version = version;
@@ -66,7 +67,12 @@
 
     /** The same for the same text only: SHA-256 in hexadecimal. */
     public String fingerprint() {
-        return fingerprint;
+        return sourceFiles.fingerprint();
+    }
+
+    /** The files that it was read from. */
+    public SourceFiles sourceFiles() {
+        return sourceFiles;
     }
 
     /** In the order of the description. */
--- a/src/main/java/gorserill/contract/ContractReader.java
+++ b/src/main/java/gorserill/contract/ContractReader.java
@@ -1,8 +1,10 @@
 package gorserill.contract;
 
+import gorserill.contract.read.Faults;
 import gorserill.contract.read.Spot;
 import gorserill.contract.read.Value.Kind;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /** Makes a contract of a description of either kind. */
 public final class ContractReader {
@@ -11,11 +13,21 @@
     /**
      * Checks a description and learns from it. Its faults hear of all that is wrong.
      *
-     * @param root what {@code Library.open} gave; null where that was nothing
+     * @param description opens it; gives null where there is nothing to read
      * @param rules of the settings by class; null where there are none to go by
      * @return null where the description can't be used
+     * @throws gorserill.contract.read.NoHeadroomException if it needs more memory than there is
      */
-    public static Contract read(Spot root, Map<String, JobRule> rules) {
+    public static Contract read(Supplier<Spot> description, Faults faults, Map<String, JobRule> rules) {
+        // The tree of the description is unreachable once this returns, before the validators are made.
+        Contract contract = describe(description.get(), rules);
+        if (contract != null && faults.sound()) {
+            contract.prepare();
+        }
+        return faults.sound() ? contract : null;
+    }
+
+    private static Contract describe(Spot root, Map<String, JobRule> rules) {
         if (root == null || !root.must(Kind.OBJECT)) {
             return null;
         }
@@ -29,9 +41,6 @@
         } else {
             root.error("neither 'openapi' nor 'asyncapi' is said", "begin with openapi: 3.1.0 or asyncapi: 3.0.0");
         }
-        if (root.faults().sound()) {
-            contract.prepare();
-        }
-        return root.faults().sound() ? contract : null;
+        return contract;
     }
 }
--- a/src/main/java/gorserill/contract/Description.java
+++ b/src/main/java/gorserill/contract/Description.java
@@ -11,7 +11,7 @@
 abstract class Description {
     final Spot root;
     final Learner learner;
-    final SchemaBundle schemas = new SchemaBundle();
+    final SchemaBundle schemas;
     /** Operations by address, each with its method; "" for messages. */
     final Templates<Map<String, Operation>> templates = new Templates<>();
 
@@ -23,6 +23,7 @@
     Description(Spot root, Map<String, JobRule> rules) {
         this.root = root;
         learner = new Learner(rules);
+        schemas = new SchemaBundle(root.faults(), root.headroom());
     }
 
     /** Gathers the operations; called once. */
@@ -51,6 +52,6 @@
         String its = info == null ? null : info.needed("version", "give the description a version");
         gather();
         schemas.findLoops();
-        return new Contract(kind, title, its, root.fingerprint(), operations, templates, schemas);
+        return new Contract(kind, title, its, root.sourceFiles(), operations, templates, schemas);
     }
 }
--- a/src/main/java/gorserill/contract/read/DocumentReader.java
+++ b/src/main/java/gorserill/contract/read/DocumentReader.java
@@ -33,9 +33,12 @@
      * Danger: aliases of aliases name a billion values in a few lines; so many are more than 32 MB spell out.
      */
     static final int MAX_VALUES = 8_000_000;
+    /** Memory of a value of a description, with its share of the object that it is a member of. */
+    private static final int BYTES_PER_VALUE = 200;
 
     private final String file;
     private final Faults faults;
+    private final Headroom headroom;
     private final JsonParser parser;
     private final YAMLParser yaml;
     private final Map<String, Value> anchors = new HashMap<>();
@@ -56,8 +59,10 @@
         }
     }
 
-    private DocumentReader(String file, Faults faults, String text, boolean isYaml) throws IOException {
+    private DocumentReader(String file, Faults faults, Headroom headroom, String text, boolean isYaml)
+            throws IOException {
         this.file = file;
+        this.headroom = headroom;
         this.faults = faults;
         if (isYaml) {
             LoaderOptions options = new LoaderOptions();
@@ -77,7 +82,7 @@
     }
 
     /** Reads a document; null where it can't be read, of which the faults then tell. */
-    static Value read(String file, byte[] bytes, Faults faults) {
+    static Value read(String file, byte[] bytes, Faults faults, Headroom headroom) {
         if (bytes.length > MAX_FILE) {
             faults.error(
                     Place.file(file),
@@ -97,10 +102,12 @@
         }
         boolean isYaml = !text.stripLeading().startsWith("{");
         try {
-            DocumentReader reader = new DocumentReader(file, faults, text, isYaml);
+            DocumentReader reader = new DocumentReader(file, faults, headroom, text, isYaml);
             try (JsonParser closed = reader.parser) {
                 return reader.document();
             }
+        } catch (NoHeadroomException e) {
+            throw e;
         } catch (Broken e) {
             faults.error(e.place, e.getMessage(), e.remedy);
         } catch (JsonProcessingException e) {
@@ -148,6 +155,7 @@
                     "more than " + MAX_DEPTH + " levels of nesting",
                     "put inner parts beside the others and refer to them with $ref");
         }
+        headroom.require(BYTES_PER_VALUE);
         String anchor = null;
         if (yaml != null) {
             if (yaml.isCurrentAlias()) {
--- a/src/main/java/gorserill/contract/read/Library.java
+++ b/src/main/java/gorserill/contract/read/Library.java
@@ -1,15 +1,14 @@
 package gorserill.contract.read;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -19,6 +18,8 @@
  */
 public final class Library {
     private static final int MAX_FILES = 256;
+    /** A file's text is held as bytes and as characters of one or two bytes. */
+    private static final int BYTES_IN_MEMORY_PER_BYTE = 3;
 
     private final Path root;
     private final Path folder;
@@ -74,26 +75,28 @@
         }
     }
 
-    private final MessageDigest text;
+    private final MessageDigest text = SourceFiles.newDigest();
+    private final List<Path> filesRead = new ArrayList<>();
+    private final Headroom headroom;
     /** Of all files so far. Danger: each of many small references could name a large file. */
     private long bytes;
 
-    private Library(Path root, Path folder, Faults faults) {
-        try {
-            text = MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
+    private Library(Path root, Path folder, Faults faults, Headroom headroom) {
+        this.headroom = headroom;
         this.root = root;
         this.folder = folder;
         this.faults = faults;
     }
 
-    /** Opens a description; null where it can't be read, of which the faults tell. */
-    public static Spot open(Path file, Faults faults) {
+    /**
+     * Opens a description; null where it can't be read, of which the faults tell.
+     *
+     * @param headroom bounds the memory that reading takes
+     */
+    public static Spot open(Path file, Faults faults, Headroom headroom) {
         try {
             Path real = file.toRealPath();
-            Library library = new Library(real, real.getParent(), faults);
+            Library library = new Library(real, real.getParent(), faults, headroom);
             Document document = library.load(real, file.toString());
             return document == null ? null : new Spot(document, document.root, "");
         } catch (IOException e) {
@@ -106,14 +109,19 @@
         return e instanceof NoSuchFileException ? "there is no such file" : "can't be read: " + e.getMessage();
     }
 
-    String fingerprint() {
+    /** The files that were read so far. */
+    SourceFiles sourceFiles() {
         try {
-            return HexFormat.of().formatHex(((MessageDigest) text.clone()).digest());
+            return new SourceFiles(List.copyOf(filesRead), SourceFiles.format((MessageDigest) text.clone()));
         } catch (CloneNotSupportedException e) {
             throw new IllegalStateException(e);
         }
     }
 
+    Headroom headroom() {
+        return headroom;
+    }
+
     Faults faults() {
         return faults;
     }
@@ -131,11 +139,11 @@
                     "keep it under " + DocumentReader.MAX_FILE);
             return null;
         }
+        headroom.require(BYTES_IN_MEMORY_PER_BYTE * Files.size(real));
         byte[] read = Files.readAllBytes(real);
-        String place = folder.relativize(real).toString();
-        text.update((place.length() + place + read.length).getBytes(StandardCharsets.UTF_8));
-        text.update(read);
-        Value value = DocumentReader.read(name, read, faults);
+        filesRead.add(real);
+        SourceFiles.update(text, folder, real, read);
+        Value value = DocumentReader.read(name, read, faults, headroom);
         Document document = value == null ? null : new Document(this, name, real, value);
         documents.put(real, document);
         return document;
--- a/src/main/java/gorserill/contract/read/Spot.java
+++ b/src/main/java/gorserill/contract/read/Spot.java
@@ -52,9 +52,14 @@
         return new Place(document.name(), member.line(), member.column(), pointer + "/" + name);
     }
 
-    /** Of the text of all files of the description that were read so far. */
-    public String fingerprint() {
-        return document.library().fingerprint();
+    /** The files of the description that were read so far. */
+    public SourceFiles sourceFiles() {
+        return document.library().sourceFiles();
+    }
+
+    /** Bounds the memory that reading the description takes. */
+    public Headroom headroom() {
+        return document.library().headroom();
     }
 
     public Faults faults() {
--- a/src/main/java/gorserill/contract/read/Value.java
+++ b/src/main/java/gorserill/contract/read/Value.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.math.BigDecimal;
+import java.math.BigInteger;
 import java.util.List;
 import java.util.Map;
 
@@ -84,6 +85,16 @@
         return members.get(name);
     }
 
+    /** The smallest node that holds the number, as the parser of values makes them. */
+    private static JsonNode wholeNumber(BigInteger number) {
+        if (number.bitLength() < Integer.SIZE) {
+            return JsonNodeFactory.instance.numberNode(number.intValue());
+        } else if (number.bitLength() < Long.SIZE) {
+            return JsonNodeFactory.instance.numberNode(number.longValue());
+        }
+        return JsonNodeFactory.instance.numberNode(number);
+    }
+
     /** The same without places. */
     public JsonNode toJson() {
         JsonNodeFactory make = JsonNodeFactory.instance;
@@ -101,7 +112,7 @@
             case NUMBER -> {
                 BigDecimal number = new BigDecimal(text);
                 return number.scale() <= 0 && number.precision() - number.scale() < 400
-                        ? make.numberNode(number.toBigIntegerExact())
+                        ? wholeNumber(number.toBigIntegerExact())
                         : make.numberNode(number.doubleValue());
             }
             case BOOLEAN -> {
--- a/src/main/java/gorserill/contract/schema/SchemaBundle.java
+++ b/src/main/java/gorserill/contract/schema/SchemaBundle.java
@@ -10,6 +10,9 @@
 import com.networknt.schema.SchemaRegistry;
 import com.networknt.schema.SchemaRegistryConfig;
 import com.networknt.schema.SpecificationVersion;
+import gorserill.contract.read.Faults;
+import gorserill.contract.read.Headroom;
+import gorserill.contract.read.Place;
 import gorserill.contract.read.Spot;
 import gorserill.contract.read.Value;
 import gorserill.contract.read.Value.Kind;
@@ -68,12 +71,21 @@
             Set.of("$id", "$dynamicRef", "$dynamicAnchor", "$recursiveRef", "$recursiveAnchor");
     private static final int SHAPE_DEPTH = 2;
     private static final int MOST_SHAPES = 2_000;
+    /** Memory of a schema with its keywords. */
+    private static final int BYTES_PER_DEFINITION = 400;
+    /** Memory of the validators of a schema's keywords. */
+    private static final int BYTES_PER_VALIDATOR = 700;
 
     /** A schema that waits to be brought over, and what its definition will be called. */
     private record Waiting(Spot spot, Dialect dialect, boolean answer, String key) {}
 
+    private final Faults faults;
+    private final Headroom headroom;
     private final Map<String, String> keys = new HashMap<>();
-    private final Map<String, Spot> spots = new HashMap<>();
+    /** Where each definition stands in the description, and how many schemas it consists of. */
+    private final Map<String, Place> places = new HashMap<>();
+
+    private final Map<String, Integer> schemaCounts = new HashMap<>();
     private final Map<String, JsonNode> definitions = new LinkedHashMap<>();
     /** Which definitions look at the same value by which others, without going down into it. */
     private final Map<String, Set<String>> again = new HashMap<>();
@@ -84,6 +96,15 @@
     private int shapesLeft;
     private Schema root;
 
+    /**
+     * @param faults receives what is wrong with the schemas
+     * @param headroom bounds the memory that they take
+     */
+    public SchemaBundle(Faults faults, Headroom headroom) {
+        this.faults = faults;
+        this.headroom = headroom;
+    }
+
     /**
      * Takes a schema in.
      *
@@ -130,11 +151,11 @@
                 }
                 String next = open.peek().next();
                 if (on.contains(next)) {
-                    spots.get(next)
-                            .error(
-                                    "this schema leads back to itself without going down into the value,"
-                                            + " so checking would never end",
-                                    "break the cycle of $ref, allOf, anyOf, oneOf or not");
+                    faults.error(
+                            places.get(next),
+                            "this schema leads back to itself without going down into the value,"
+                                    + " so checking would never end",
+                            "break the cycle of $ref, allOf, anyOf, oneOf or not");
                 } else if (!done.contains(next)) {
                     path.push(next);
                     on.add(next);
@@ -150,7 +171,7 @@
         if (key == null) {
             key = "s" + keys.size();
             keys.put(id, key);
-            spots.put(key, spot);
+            places.put(key, spot.place());
             waiting.add(new Waiting(spot, dialect, answer, key));
         }
         return key;
@@ -168,6 +189,8 @@
     // ---- one schema ----
 
     private JsonNode schema(Spot spot, Dialect dialect, boolean answer) {
+        headroom.require(BYTES_PER_DEFINITION);
+        schemaCounts.merge(at, 1, Integer::sum);
         if (spot.is(Kind.BOOLEAN) && dialect != Dialect.OPENAPI_30) {
             return spot.value().toJson();
         }
@@ -440,7 +463,7 @@
             items = items == null ? more.items() : items;
             more.members().forEach(members::putIfAbsent);
         }
-        return new Shape(Collections.unmodifiableSet(types), items, Collections.unmodifiableMap(members));
+        return Shape.of(types, items, members);
     }
 
     private static String typeOf(JsonNode value) {
@@ -461,16 +484,26 @@
      */
     public void prepare() {
         for (String key : definitions.keySet()) {
+            headroom.require((long) BYTES_PER_VALIDATOR * schemaCounts.get(key));
             try {
                 compiled(key).initializeValidators();
             } catch (RuntimeException e) {
-                spots.get(key)
-                        .error(
-                                "the validator can't use the schemas: " + e.getMessage(),
-                                "correct what it names, here or in what this refers to");
+                faults.error(
+                        places.get(key),
+                        "the validator can't use the schemas: " + e.getMessage(),
+                        "correct what it names, here or in what this refers to");
                 return;
             }
         }
+        forgetDescription();
+    }
+
+    /** Drops what only reading needs: a contract in force must not hold its description a second time. */
+    private void forgetDescription() {
+        keys.clear();
+        places.clear();
+        schemaCounts.clear();
+        again.clear();
     }
 
     /** A definition's validator; what it refers to is compiled when it is first used. */
--- a/src/main/java/gorserill/contract/schema/Shape.java
+++ b/src/main/java/gorserill/contract/schema/Shape.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * What a schema says of the types it takes, as far as a text must be read by it: parameters come as texts,
@@ -15,6 +16,17 @@
     /** Says nothing. */
     public static final Shape ANY = new Shape(Set.of(), null, Map.of());
 
+    /** Shapes of types alone: a description has thousands of properties, and JSON Schema has seven types. */
+    private static final Map<Set<String>, Shape> SIMPLE = new ConcurrentHashMap<>();
+
+    static Shape of(Set<String> types, Shape items, Map<String, Shape> members) {
+        if (items == null && members.isEmpty()) {
+            Set<String> key = Set.copyOf(types);
+            return SIMPLE.computeIfAbsent(key, simple -> new Shape(simple, null, Map.of()));
+        }
+        return new Shape(Set.copyOf(types), items, Map.copyOf(members));
+    }
+
     public boolean takes(String type) {
         return types.isEmpty() || types.contains(type);
     }
--- a/src/main/java/gorserill/program/ContractLoader.java
+++ b/src/main/java/gorserill/program/ContractLoader.java
@@ -6,6 +6,7 @@
 import gorserill.contract.Operation;
 import gorserill.contract.read.Faults;
 import gorserill.contract.read.Library;
+import gorserill.contract.read.NoHeadroomException;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -19,14 +20,30 @@
     private ContractLoader() {}
 
     /**
-     * Reads a contract.
+     * Reads a contract, unless its files still hold what the one in force was read from.
      *
      * @param key the configuration key that names the file
+     * @param inForce what a running node has; {@link ContractsInForce#NONE} at the start
      * @throws ConfigException with all faults, one line each
      */
-    static Contract read(String key, Path file, Contract.Kind kind, Map<String, JobRule> rules) throws ConfigException {
+    static Contract read(
+            String key, Path file, Contract.Kind kind, Map<String, JobRule> rules, ContractsInForce inForce)
+            throws ConfigException {
+        Contract unchanged = inForce.ifUnchanged(file, kind, rules);
+        return unchanged == null ? readAnew(key, file, kind, rules, inForce) : unchanged;
+    }
+
+    private static Contract readAnew(
+            String key, Path file, Contract.Kind kind, Map<String, JobRule> rules, ContractsInForce inForce)
+            throws ConfigException {
         Faults faults = new Faults();
-        Contract contract = ContractReader.read(Library.open(file, faults), rules);
+        Contract contract;
+        try {
+            contract = ContractReader.read(
+                    () -> Library.open(file, faults, new HeapHeadroom(inForce.reservedBytes())), faults, rules);
+        } catch (NoHeadroomException e) {
+            throw new ConfigException(key, file + ": " + e.getMessage());
+        }
         if (contract == null) {
             throw new ConfigException(key, faults.errors() + " faults in " + file + "\n" + faults.text());
         } else if (contract.kind() != kind) {
--- a/src/main/java/gorserill/program/FaktoryConfig.java
+++ b/src/main/java/gorserill/program/FaktoryConfig.java
@@ -15,7 +15,11 @@
 
     /** Reads and checks the file; null if it does not exist or does not enable the front end. */
     static FaktorySettings read(
-            Path file, List<String> classNames, Map<String, JobClassInfo> classes, Map<String, JobRule> rules)
+            Path file,
+            List<String> classNames,
+            Map<String, JobClassInfo> classes,
+            Map<String, JobRule> rules,
+            ContractsInForce inForce)
             throws ConfigException {
         Map<String, String> values = JsonFlattener.readIfEnabled(file);
         if (values == null) {
@@ -27,7 +31,11 @@
         Contract contract = null;
         if (values.containsKey("asyncapi")) {
             contract = ContractLoader.read(
-                    file + ": asyncapi", file.resolveSibling(values.get("asyncapi")), Contract.Kind.ASYNCAPI, rules);
+                    file + ": asyncapi",
+                    file.resolveSibling(values.get("asyncapi")),
+                    Contract.Kind.ASYNCAPI,
+                    rules,
+                    inForce);
             queues.putAll(ContractLoader.classesByQueue(contract));
         }
         for (Map.Entry<String, String> queue :
--- a/src/main/java/gorserill/program/Node.java
+++ b/src/main/java/gorserill/program/Node.java
@@ -70,6 +70,9 @@
     /** Null if the node is not a member of a cluster. */
     private ClusterPart cluster;
 
+    /** The contracts that the front ends have; guarded by this object's monitor. */
+    private ContractsInForce contractsInForce;
+
     private Lifecycle lifecycle;
     private NodeMetrics metrics;
     private final List<Transport.Listener> listeners = new ArrayList<>();
@@ -159,6 +162,8 @@
         httpGate = new ContractGate(loop, config.maxDedupWindowMicros(), mismatchWarnings);
         httpGate.replace(config.contract);
         httpFrontend = new HttpFrontend(loop, core, config.jobClassInfo(), tenants, httpGate);
+        rememberContracts(config);
+        config.forgetContracts();
         lifecycle = new Lifecycle(
                 loop,
                 config.name,
@@ -356,11 +361,18 @@
         thread.start();
     }
 
+    private synchronized void rememberContracts(NodeConfig source) {
+        contractsInForce = ContractsInForce.of(source, bodyBudget::unused);
+    }
+
     private void readAndApply(Consumer<String> outcome) {
         try {
-            NodeConfig newConfig = NodeConfig.readForReload(environment);
+            NodeConfig newConfig = NodeConfig.readForReload(environment, contractsInForce);
+            if (config.sameClasses(newConfig)) {
+                rememberContracts(newConfig);
+            }
             loop.execute(() -> outcome.accept(apply(newConfig)));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             LOG.log(Level.SEVERE, "reload: the configuration can't be read; the old one stays in force", e);
             loop.execute(() -> {
                 metrics.recordReload(false);
--- a/src/main/java/gorserill/program/NodeConfig.java
+++ b/src/main/java/gorserill/program/NodeConfig.java
@@ -76,11 +76,11 @@
     /** The workers' own limit on idle connections. */
     final long connectionIdleMicros;
     /** Null if the Faktory front end is disabled. */
-    final FaktorySettings faktory;
+    FaktorySettings faktory;
     /** Null if the node is not a member of a cluster. */
     final ClusterConfig cluster;
     /** The HTTP front end's contract; if null, its paths are the class names. */
-    final Contract contract;
+    Contract contract;
 
     private final Map<String, String> values;
 
@@ -88,7 +88,8 @@
             Map<String, String> top,
             Map<String, String> values,
             WorkerListing cachedListing,
-            Map<String, String> environment)
+            Map<String, String> environment,
+            ContractsInForce inForce)
             throws ConfigException {
         this.values = values;
         this.cachedListing = cachedListing;
@@ -146,7 +147,8 @@
                 Path.of(environment.getOrDefault("GORSERILL_FAKTORY", "deploy/faktory.json")),
                 classNames,
                 jobClassInfo(),
-                jobRules());
+                jobRules(),
+                inForce);
         cluster = ClusterConfig.read(
                 Path.of(environment.getOrDefault("GORSERILL_CLUSTER", "deploy/cluster.json")),
                 name,
@@ -156,11 +158,16 @@
         String openApi = environment.get("GORSERILL_OPENAPI");
         contract = openApi == null
                 ? null
-                : ContractLoader.read("GORSERILL_OPENAPI", Path.of(openApi), Contract.Kind.OPENAPI, jobRules());
+                : ContractLoader.read(
+                        "GORSERILL_OPENAPI", Path.of(openApi), Contract.Kind.OPENAPI, jobRules(), inForce);
     }
 
     /** Reads the file that {@code NODE_CONFIG} names; other environment variables override its values. */
     static NodeConfig read(Map<String, String> environment) throws ConfigException {
+        return read(environment, ContractsInForce.NONE);
+    }
+
+    private static NodeConfig read(Map<String, String> environment, ContractsInForce inForce) throws ConfigException {
         String file = environment.get("NODE_CONFIG");
         if (file == null) {
             throw new ConfigException(
@@ -202,17 +209,25 @@
                 default -> {}
             }
         });
-        return new NodeConfig(top, settings, cachedListing, environment);
+        return new NodeConfig(top, settings, cachedListing, environment, inForce);
     }
 
     /**
      * Reads the file again for a running node. The variable for discovery's address is ignored here; it would override
      * the file on every reload.
+     *
+     * @param inForce the contracts that the node has; they are read again only if they changed
      */
-    static NodeConfig readForReload(Map<String, String> environment) throws ConfigException {
+    static NodeConfig readForReload(Map<String, String> environment, ContractsInForce inForce) throws ConfigException {
         Map<String, String> variables = new HashMap<>(environment);
         variables.remove("NODE_DISCOVERY");
-        return read(variables);
+        return read(variables, inForce);
+    }
+
+    /** Drops the contracts once the front ends have them, since this configuration outlives contracts that change. */
+    void forgetContracts() {
+        contract = null;
+        faktory = faktory == null ? null : faktory.withoutContract();
     }
 
     /** The changed keys of a newer configuration that take effect only after a restart. */
--- a/src/main/java/gorserill/program/command/ContractCommand.java
+++ b/src/main/java/gorserill/program/command/ContractCommand.java
@@ -17,6 +17,7 @@
 import gorserill.contract.Verdict;
 import gorserill.contract.read.Fault;
 import gorserill.contract.read.Faults;
+import gorserill.contract.read.Headroom;
 import gorserill.contract.read.Library;
 import gorserill.program.ConfigException;
 import gorserill.program.NodeConfig;
@@ -103,7 +104,8 @@
         /** Reads a contract and prints its faults; returns null if it has errors. */
         protected Contract contract(Path file, Map<String, JobRule> rules) {
             Faults faults = new Faults();
-            Contract contract = ContractReader.read(Library.open(file, faults), rules);
+            Contract contract =
+                    ContractReader.read(() -> Library.open(file, faults, Headroom.UNLIMITED), faults, rules);
             err().print(faults.text());
             err().flush();
             return contract;
@@ -134,7 +136,8 @@
             boolean sound = true;
             for (Path file : files) {
                 Faults faults = new Faults();
-                Contract contract = ContractReader.read(Library.open(file, faults), rules);
+                Contract contract =
+                        ContractReader.read(() -> Library.open(file, faults, Headroom.UNLIMITED), faults, rules);
                 sound &= faults.sound();
                 faults.all().forEach(fault -> add(list, fault));
                 if (format == Format.text) {
--- a/src/main/java/gorserill/protocol/faktory/FaktorySettings.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktorySettings.java
@@ -27,6 +27,11 @@
         Map<String, JobClassInfo> classes,
         Contract contract) {
 
+    /** Returns the same settings without a contract. */
+    public FaktorySettings withoutContract() {
+        return new FaktorySettings(listen, password, queues, jobtypes, classNames, classes, null);
+    }
+
     /**
      * Returns the class of a job, or null if neither its job type nor its queue is bound to one.
      *
--- a/src/test/java/gorserill/contract/Described.java
+++ b/src/test/java/gorserill/contract/Described.java
@@ -3,6 +3,7 @@
 import barrowflow.Dispatcher.Effect;
 import gorserill.contract.read.Fault;
 import gorserill.contract.read.Faults;
+import gorserill.contract.read.Headroom;
 import gorserill.contract.read.Library;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -36,7 +37,8 @@
                 Files.createDirectories(folder.resolve(files[i]).getParent());
                 Files.writeString(folder.resolve(files[i]), files[i + 1]);
             }
-            contract = ContractReader.read(Library.open(folder.resolve(files[0]), faults), rules);
+            contract = ContractReader.read(
+                    () -> Library.open(folder.resolve(files[0]), faults, Headroom.UNLIMITED), faults, rules);
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
--- a/src/test/java/gorserill/contract/ReadingTest.java
+++ b/src/test/java/gorserill/contract/ReadingTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gorserill.contract.read.Headroom;
 import gorserill.contract.read.Library;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -116,7 +117,8 @@
                 linked.folder.resolve("e.yaml"),
                 "openapi: 3.1.0\ninfo: {title: t, version: '1'}\n" + "paths:\n  /j: {$ref: inside.yaml}\n");
         var faults = new gorserill.contract.read.Faults();
-        assertNull(ContractReader.read(Library.open(linked.folder.resolve("e.yaml"), faults), null));
+        assertNull(ContractReader.read(
+                () -> Library.open(linked.folder.resolve("e.yaml"), faults, Headroom.UNLIMITED), faults, null));
         assertTrue(faults.text().contains("leads out of the description's folder"), faults.text());
         Described beside = new Described(
                 Described.RULES,
@@ -329,7 +331,8 @@
             var faults = new gorserill.contract.read.Faults();
             int at = seed;
             Contract contract = org.junit.jupiter.api.Assertions.assertDoesNotThrow(
-                    () -> ContractReader.read(Library.open(file, faults), null), () -> "seed " + at + ": " + root);
+                    () -> ContractReader.read(() -> Library.open(file, faults, Headroom.UNLIMITED), faults, null),
+                    () -> "seed " + at + ": " + root);
             assertFalse(faults.text().contains("the validator can't use"), faults::text);
             assertEquals(faults.sound(), contract != null, faults.text());
             sound += contract == null ? 0 : 1;
--- a/src/test/java/gorserill/measure/ContractBenchmark.java
+++ b/src/test/java/gorserill/measure/ContractBenchmark.java
@@ -6,6 +6,7 @@
 import gorserill.contract.Door;
 import gorserill.contract.Verdict;
 import gorserill.contract.read.Faults;
+import gorserill.contract.read.Headroom;
 import gorserill.contract.read.Library;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -57,7 +58,7 @@
         Path file = Files.createTempFile("benchmark", ".json");
         Files.writeString(file, text);
         Faults faults = new Faults();
-        Contract contract = ContractReader.read(Library.open(file, faults), null);
+        Contract contract = ContractReader.read(() -> Library.open(file, faults, Headroom.UNLIMITED), faults, null);
         if (contract == null) {
             throw new IllegalStateException(faults.text());
         }
