Transport: new connections no longer delay the writes of other clients' jobs

What callers saw: while hundreds of clients connected, left a message half sent and connected again, sound clients' jobs were taken, never sent and refused at the end of their time (503 after 3.9 s of 4 s).

Cause: ReadBarrier's pass, which a write waits for, went on for one more round with each accepted connection, up to 1,000 rounds, and its age counted from the request. It so took longer than the 50 ms for which it holds, and the write waited until its job was given up.

Change: a pass over the open connections is one round whose age counts from when the selector's thread begins it. Connections that wait to be accepted are accepted and read after it in three rounds; the arrival time of requests, which needs them, has its own stamp. Later connections prolong neither.

ClientLeftTest, ListBeforeSendTest, WriteGateTest, HttpWatchTest and ProgramTest pass.

--- a/src/main/java/gorserill/transport/ReadBarrier.java
+++ b/src/main/java/gorserill/transport/ReadBarrier.java
@@ -3,6 +3,8 @@
 import gorserill.common.Loop;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.LongConsumer;
 import org.glassfish.grizzly.nio.SelectorRunner;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
@@ -18,9 +20,9 @@
  * </ul>
  *
  * <p>A process can be stopped, or held up by the machine or by the garbage collector, and either thread may be the
- * first to continue. Both ages are therefore counted from the moment at which a pass over all connections was
- * requested. A write for which the bounds can't be shown waits until its job is given up. All methods run on the
- * loop's thread unless stated otherwise.
+ * first to continue. Both ages are therefore counted from the moment at which a pass over all connections began. A
+ * write for which the bounds can't be shown waits until its job is given up. All methods run on the loop's thread
+ * unless stated otherwise.
  */
 final class ReadBarrier {
     /** How long a connection that was seen open counts as open, in microseconds. */
@@ -32,23 +34,35 @@
      * since the last pass.
      */
     private static final long MAX_PASS_GAP_MICROS = 100_000;
-    /** Maximum number of successive passes while a read may be followed by more input. */
-    private static final int MAX_SUCCESSIVE_PASSES = 1_000;
+    /** Rounds in which a connection is registered and read from after it was accepted. */
+    private static final int ROUNDS_AFTER_ACCEPT = 3;
+    /** Maximum number of successive rounds while a read may be followed by more input. */
+    private static final int MAX_ROUNDS = 1_000;
 
     private final Loop loop;
     private final TCPNIOTransport nio;
     private final long maxInputAgeMicros;
-    /** When the last completed pass was requested; written on the selector's thread. */
+    /** When the last completed pass over the open connections began; written on the selector's thread. */
     private volatile long lastPassMicros = Long.MIN_VALUE / 2;
-    /** When the last pass was requested all of whose input the loop has processed. */
-    private long lastProcessedPassMicros = Long.MIN_VALUE / 2;
-    /** Number of reads that more input may follow; used on the selector's thread. */
-    private int unfinishedReads;
     /**
-     * How many of them have been followed by a complete pass. A connection that is accepted right before a pass is read
-     * only in the next one.
+     * When the last completed pass began that also read the connections which had waited to be accepted; written on the
+     * selector's thread.
      */
+    private volatile long lastArrivalPassMicros = Long.MIN_VALUE / 2;
+    /** When the last pass began all of whose input the loop has processed. */
+    private long lastProcessedPassMicros = Long.MIN_VALUE / 2;
+    /** Number of reads of reports that more input may follow; used on the selector's thread. */
+    private int unfinishedReads;
+    /** How many of them have been followed by a complete pass; used on the selector's thread. */
     private int settledReads;
+    /** Number of accepted connections; used on the selector's thread. */
+    private int accepts;
+    /** How many of them have been read from since; used on the selector's thread. */
+    private int settledAccepts;
+    /** Whether connections that were accepted are being read; used on the selector's thread. */
+    private boolean readingAccepted;
+    /** Accepts the connections that wait in the kernel, one task for each listening socket. */
+    private final List<Runnable> backlogs = new CopyOnWriteArrayList<>();
 
     private List<Runnable> waiting = new ArrayList<>();
     private volatile boolean periodicPasses;
@@ -60,15 +74,29 @@
         this.maxInputAgeMicros = maxInputAgeMicros;
     }
 
-    /** On the selector's thread: part of a report was read, or a connection accepted and not yet read from. */
+    /** On the selector's thread: part of a report was read. */
     void expectMoreInput() {
         unfinishedReads++;
     }
 
+    /** On the selector's thread: a connection was accepted and not yet read from. */
+    void connectionAccepted() {
+        accepts++;
+    }
+
+    /** @param acceptAll accepts, on the selector's thread, all connections that wait at a listening socket */
+    void addBacklog(Runnable acceptAll) {
+        backlogs.add(acceptAll);
+    }
+
+    void removeBacklog(Runnable acceptAll) {
+        backlogs.remove(acceptAll);
+    }
+
     /** Starts a pass every {@link #PASS_INTERVAL_MS} regardless of load, so that pauses of the process are detected. */
     void startPeriodicPasses(SelectorRunner selector) {
         // No input can have arrived before there was a listener.
-        lastPassMicros = loop.now();
+        lastArrivalPassMicros = loop.now();
         periodicPasses = true;
         Thread thread = new Thread(() -> runPeriodicPasses(selector), "read barrier");
         thread.setDaemon(true);
@@ -78,7 +106,7 @@
     private void runPeriodicPasses(SelectorRunner selector) {
         try {
             while (periodicPasses) {
-                pass(selector, loop.now(), () -> {});
+                pass(selector, startedMicros -> {});
                 Thread.sleep(PASS_INTERVAL_MS);
             }
         } catch (InterruptedException e) {
@@ -100,7 +128,7 @@
      */
     long earliestArrivalMicros() {
         long now = loop.now();
-        long lastPass = lastPassMicros;
+        long lastPass = lastArrivalPassMicros;
         return periodicPasses && now - lastPass > MAX_PASS_GAP_MICROS ? lastPass : now;
     }
 
@@ -134,19 +162,17 @@
 
     /** Reads all connections, and continues once the loop has processed all that was read. */
     private void passBehindQueue(SelectorRunner selector) {
-        long requestedMicros = loop.now();
         pass(
                 selector,
-                requestedMicros,
-                () -> loop.execute(() -> {
-                    lastProcessedPassMicros = requestedMicros;
+                startedMicros -> loop.execute(() -> {
+                    lastProcessedPassMicros = startedMicros;
                     runOrRepeat(selector);
                 }));
     }
 
     /** Reads all connections to detect closes only; does not wait until the loop has processed other input. */
     private void passForCloses(SelectorRunner selector) {
-        pass(selector, loop.now(), () -> loop.executeFirst(() -> runOrRepeat(selector)));
+        pass(selector, startedMicros -> loop.executeFirst(() -> runOrRepeat(selector)));
     }
 
     private void runOrRepeat(SelectorRunner selector) {
@@ -162,24 +188,60 @@
     }
 
     /**
-     * Requests a pass over all connections.
+     * Requests a pass over all open connections. Its age counts from when the selector's thread begins it, so that it
+     * is short even if that thread is busy; connections that are accepted meanwhile don't prolong it, however many.
      *
-     * @param completed called on the selector's thread
+     * @param completed called on the selector's thread with the time at which the pass began
      */
-    private void pass(SelectorRunner selector, long requestedMicros, Runnable completed) {
-        enqueue(selector, () -> pass(selector, requestedMicros, completed, settledReads, MAX_SUCCESSIVE_PASSES));
+    private void pass(SelectorRunner selector, LongConsumer completed) {
+        enqueue(selector, () -> {
+            long startedMicros = loop.now();
+            nextRound(selector, settledReads, MAX_ROUNDS, () -> {
+                settledReads = unfinishedReads;
+                lastPassMicros = Math.max(lastPassMicros, startedMicros);
+                completed.accept(startedMicros);
+                readBacklogs(selector, startedMicros);
+            });
+        });
     }
 
     /** Between two tasks the selector's thread has read once from each connection that had input. */
-    private void pass(
-            SelectorRunner selector, long requestedMicros, Runnable completed, int readsBefore, int passesLeft) {
+    private void nextRound(SelectorRunner selector, int readsBefore, int roundsLeft, Runnable settled) {
         enqueue(selector, () -> {
-            if (unfinishedReads != readsBefore && passesLeft > 0) {
-                pass(selector, requestedMicros, completed, unfinishedReads, passesLeft - 1);
+            if (unfinishedReads != readsBefore && roundsLeft > 1) {
+                nextRound(selector, unfinishedReads, roundsLeft - 1, settled);
             } else {
-                settledReads = unfinishedReads;
-                lastPassMicros = Math.max(lastPassMicros, requestedMicros);
-                completed.run();
+                settled.run();
+            }
+        });
+    }
+
+    /** Accepts all connections that wait, and reads from them: their requests may have come before this pass. */
+    private void readBacklogs(SelectorRunner selector, long passStartedMicros) {
+        if (readingAccepted) {
+            return;
+        }
+        long startedMicros = loop.now();
+        backlogs.forEach(Runnable::run);
+        int acceptsBefore = accepts;
+        if (acceptsBefore == settledAccepts) {
+            lastArrivalPassMicros = Math.max(lastArrivalPassMicros, passStartedMicros);
+            return;
+        }
+        readingAccepted = true;
+        afterRounds(selector, ROUNDS_AFTER_ACCEPT, () -> {
+            readingAccepted = false;
+            settledAccepts = acceptsBefore;
+            lastArrivalPassMicros = Math.max(lastArrivalPassMicros, startedMicros);
+        });
+    }
+
+    private void afterRounds(SelectorRunner selector, int rounds, Runnable task) {
+        enqueue(selector, () -> {
+            if (rounds > 1) {
+                afterRounds(selector, rounds - 1, task);
+            } else {
+                task.run();
             }
         });
     }
--- a/src/main/java/gorserill/transport/Transport.java
+++ b/src/main/java/gorserill/transport/Transport.java
@@ -195,12 +195,15 @@
 
     /** Listens on the socket that the process inherited as its file descriptor 0. */
     public Listener listenOnInherited(Filter codec, Supplier<? extends ChannelListener> listeners) throws IOException {
-        TCPNIOServerConnection server =
-                binding(new AcceptFilter(loop, descriptors, listeners), codec).bindToInherited();
+        AcceptFilter acceptFilter = new AcceptFilter(loop, descriptors, listeners);
+        TCPNIOServerConnection server = binding(acceptFilter, codec).bindToInherited();
+        Runnable acceptAll = () -> acceptBacklog(server, acceptFilter);
+        barrier.addBacklog(acceptAll);
         startPauseTracking(server);
         // The JVM would close standard output and error together with this socket, so it only stops accepting.
         return () -> {
             try {
+                barrier.removeBacklog(acceptAll);
                 server.disableIOEvent(IOEvent.SERVER_ACCEPT);
             } catch (IOException e) {
                 LOG.log(Level.WARNING, "can''t stop accepting on the passed socket: {0}", e.getMessage());
@@ -222,9 +225,12 @@
 
     private Listener bind(AcceptFilter acceptFilter, Filter codec, InetSocketAddress address) throws IOException {
         TCPNIOServerConnection server = binding(acceptFilter, codec).bind(address, BACKLOG);
+        Runnable acceptAll = () -> acceptBacklog(server, acceptFilter);
+        barrier.addBacklog(acceptAll);
         startPauseTracking(server);
         return () -> onSelector(server, () -> {
-            acceptBacklog(server, acceptFilter);
+            barrier.removeBacklog(acceptAll);
+            acceptAll.run();
             server.closeSilently();
         });
     }
@@ -334,7 +340,7 @@
         @Override
         public NextAction handleAccept(FilterChainContext ctx) {
             accepted++;
-            barrier.expectMoreInput();
+            barrier.connectionAccepted();
             Channel channel = channel(ctx.getConnection(), listeners.get(), budget);
             // Silent clients must not keep out clients with requests, nor keep the node from connecting to its workers.
             Channel toClose = budget.registerAccepted(channel);
