Memory budget: charge heads and buffers, and let incomplete messages give way

What callers saw: 550 clients whose heads had 2,250 short fields ended the process with OutOfMemoryError (status 3). 400 clients that held half a body or Faktory command kept all others out with 503 or -ERR no room.

Cause: the budget counted bodies alone, while a parsed field costs some 130 bytes beside its text and a connection at rest kept its last head and buffer. What was reserved first stayed, however slow its client.

Change: each message's reservation covers buffers, parsed fields and the capacity of its body; at most 256 fields. When the budget is exhausted, incomplete messages are evicted, oldest first: any of them for a complete or small message, stalled ones (0.5 s) for others. An evicted client hears the same 503 or -ERR as before. A connection at rest holds 512 bytes. Where such an end meets a running job that may have run, it gets 500, since 503 would say that it did not.

--- a/src/main/java/gorserill/common/MemoryBudget.java
+++ b/src/main/java/gorserill/common/MemoryBudget.java
@@ -1,59 +1,140 @@
 package gorserill.common;
 
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
 
 /**
- * Memory budget for data received from clients, shared by all connections. Bodies within the limit per body could, on
- * hundreds of connections, exceed a small heap. Thread-safe.
+ * Memory budget for data received from clients, shared by all connections. Messages within the limit per message could,
+ * on hundreds of connections, exceed a small heap.
+ *
+ * <p>Clients that begin messages and don't complete them must not keep others out. When the budget is exhausted,
+ * incomplete messages are evicted, the one that began first before others: all of them in favour of a message that is
+ * complete or small, and those that began {@value #STALL_MILLIS} ms ago or earlier in favour of any other. Thread-safe.
  */
 public final class MemoryBudget {
+    /** Age from which an incomplete message counts as stalled: a client on a sound network has sent it by then. */
+    private static final int STALL_MILLIS = 500;
+    /** An incomplete message up to this size is small; a sound client's request may come in two pieces. */
+    private static final int SMALL_BYTES = 4 * 1024;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final long limit;
-    private final AtomicLong used = new AtomicLong();
+    private final LongSupplier nanoClock;
+    private long used;
+    /** Reservations of messages that are still being received, oldest first. */
+    private final Set<Reservation> incomplete = new LinkedHashSet<>();
 
     /** @param limit bytes */
     public MemoryBudget(long limit) {
+        this(limit, System::nanoTime);
+    }
+
+    /** @param nanoClock time in nanoseconds from any origin */
+    MemoryBudget(long limit, LongSupplier nanoClock) {
         this.limit = limit;
+        this.nanoClock = nanoClock;
     }
 
-    /** Creates a reservation that holds no memory yet. */
-    public Reservation newReservation() {
-        return new Reservation();
+    /**
+     * Creates a reservation that holds no memory yet, for a message that is still to be received.
+     *
+     * @param onEviction called on the thread that needs the memory; the message has to be discarded
+     */
+    public Reservation newReservation(Runnable onEviction) {
+        return new Reservation(onEviction);
     }
 
-    public long used() {
-        return used.get();
+    public synchronized long used() {
+        return used;
     }
 
     /** Bytes that can still be reserved. */
-    public long unused() {
-        return limit - used.get();
+    public synchronized long unused() {
+        return limit - used;
     }
 
     /** The memory that one message holds, from its first byte until it has been answered. Thread-safe. */
     public final class Reservation {
+        private final Runnable onEviction;
         private long bytes;
+        private long startedNanos;
+        private boolean completed;
         private boolean released;
 
-        private Reservation() {}
+        private Reservation(Runnable onEviction) {
+            this.onEviction = onEviction;
+        }
+
+        /**
+         * Changes how much memory is reserved while the message is received, if necessary by evicting others. Returns
+         * false and changes nothing if that does not suffice.
+         */
+        public boolean tryResize(long newBytes) {
+            return tryResize(newBytes, false);
+        }
+
+        /** Like {@link #tryResize}, for a message that is complete; from now on it is not evicted. */
+        public boolean tryComplete(long newBytes) {
+            return tryResize(newBytes, true);
+        }
 
-        /** Reserves more memory; returns false and reserves nothing if the budget is exhausted. */
-        public synchronized boolean tryGrow(long moreBytes) {
-            if (released) {
-                return false;
+        private boolean tryResize(long newBytes, boolean completes) {
+            List<Reservation> evicted = new ArrayList<>();
+            boolean resized;
+            synchronized (MemoryBudget.this) {
+                completed |= completes;
+                incomplete.remove(completes ? this : null);
+                resized = !released && makeRoom(newBytes - bytes, completes || newBytes <= SMALL_BYTES, evicted);
+                if (resized) {
+                    used += newBytes - bytes;
+                    bytes = newBytes;
+                    listIfIncomplete();
+                }
             }
-            if (used.addAndGet(moreBytes) > limit) {
-                used.addAndGet(-moreBytes);
-                return false;
+            evicted.forEach(other -> other.onEviction.run());
+            return resized;
+        }
+
+        private boolean makeRoom(long moreBytes, boolean evictsAny, List<Reservation> evicted) {
+            long stalledSince = nanoClock.getAsLong() - STALL_MILLIS * NANOS_PER_MILLI;
+            Iterator<Reservation> oldest = incomplete.iterator();
+            while (moreBytes > 0 && used + moreBytes > limit && oldest.hasNext()) {
+                Reservation other = oldest.next();
+                if (other == this) {
+                    continue;
+                } else if (!evictsAny && other.startedNanos - stalledSince > 0) {
+                    break;
+                }
+                oldest.remove();
+                other.free();
+                evicted.add(other);
+            }
+            return moreBytes <= 0 || used + moreBytes <= limit;
+        }
+
+        private void listIfIncomplete() {
+            if (bytes > 0 && !completed && incomplete.add(this)) {
+                startedNanos = nanoClock.getAsLong();
             }
-            bytes += moreBytes;
-            return true;
         }
 
         /** Returns the memory to the budget, once: further calls do nothing, so that the limit can't grow by them. */
-        public synchronized void release() {
+        public void release() {
+            synchronized (MemoryBudget.this) {
+                incomplete.remove(this);
+                free();
+            }
+        }
+
+        private void free() {
             if (!released) {
                 released = true;
-                used.addAndGet(-bytes);
+                used -= bytes;
             }
         }
     }
--- a/src/main/java/gorserill/protocol/http/HttpCodec.java
+++ b/src/main/java/gorserill/protocol/http/HttpCodec.java
@@ -1,15 +1,18 @@
 package gorserill.protocol.http;
 
+import gorserill.common.ByteAccumulator;
 import gorserill.common.Loop;
 import gorserill.common.MemoryBudget;
 import gorserill.protocol.http.HttpParser.Event;
 import gorserill.transport.ChannelListener;
-import java.io.ByteArrayOutputStream;
+import gorserill.transport.InputRejected;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -38,21 +41,61 @@
     private final Attribute<State> states =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("gorserill.http." + System.identityHashCode(this));
 
-    /** Decoding state of one connection. */
-    private static final class State {
-        final HttpParser parser;
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        /** Holds the memory of {@link #body}; null in the client role. */
-        MemoryBudget.Reservation reservation;
+    /** Decoding state of one connection; guarded by its own monitor. */
+    private final class State {
+        final Connection<?> connection;
+        final HttpParser parser = new HttpParser(responses, maxBodyBytes);
+        final ByteAccumulator body = new ByteAccumulator();
+        /** Holds the memory of the current message; null in the client role. */
+        MemoryBudget.Reservation reservation = newReservation();
 
         boolean failed;
         boolean incomplete;
         /** The current message is an interim response (1xx), which is not passed on. */
         boolean interim;
 
-        State(HttpParser parser, MemoryBudget.Reservation reservation) {
-            this.parser = parser;
-            this.reservation = reservation;
+        State(Connection<?> connection) {
+            this.connection = connection;
+        }
+
+        private MemoryBudget.Reservation newReservation() {
+            return bodyBudget == null ? null : bodyBudget.newReservation(this::evicted);
+        }
+
+        private void evicted() {
+            if (end()) {
+                InputRejected.fire(connection, noRoom());
+            }
+        }
+
+        /** Ends the input and drops the incomplete message; returns false if that happened before. */
+        synchronized boolean end() {
+            boolean wasOpen = !failed;
+            failed = true;
+            body.clear();
+            if (reservation != null) {
+                reservation.release();
+            }
+            return wasOpen;
+        }
+
+        /** Reserves what the message that is being received holds by now. */
+        void reserveReceived() throws HttpException {
+            if (reservation != null
+                    && !reservation.tryResize(
+                            parser.bufferedMemoryBytes() + parser.headMemoryBytes() + body.capacity())) {
+                throw noRoom();
+            }
+        }
+
+        HttpRequest takeRequest() throws HttpException {
+            MemoryBudget.Reservation taken = reservation;
+            byte[] content = body.take();
+            if (!taken.tryComplete(parser.headMemoryBytes() + content.length)) {
+                throw noRoom();
+            }
+            reservation = newReservation();
+            return new HttpRequest(parser.takeHead(), content, taken, arrival.getAsLong());
         }
     }
 
@@ -82,10 +125,10 @@
     public NextAction handleRead(FilterChainContext ctx) {
         State state = states.get(ctx.getConnection());
         if (state == null) {
-            state = new State(new HttpParser(responses, maxBodyBytes), newReservation());
+            state = new State(ctx.getConnection());
             states.set(ctx.getConnection(), state);
             State closing = state;
-            ((Closeable) ctx.getConnection()).addCloseListener((connection, type) -> onClose(closing));
+            ((Closeable) ctx.getConnection()).addCloseListener((connection, type) -> closing.end());
         }
         Buffer buffer = ctx.getMessage();
         List<Object> out = new ArrayList<>(4);
@@ -102,14 +145,15 @@
             state.parser.feed(((Buffer) ctx.getMessage()).toByteBuffer());
             try {
                 decode(ctx, state, out);
+                state.parser.trim();
+                state.reserveReceived();
                 boolean midMessage = state.parser.midMessage();
                 if (midMessage && (!state.incomplete || !out.isEmpty())) {
                     out.add(ChannelListener.PARTIAL_MESSAGE);
                 }
                 state.incomplete = midMessage;
             } catch (HttpException e) {
-                state.failed = true;
-                discardBody(state);
+                state.end();
                 out.add(e);
             }
         }
@@ -132,43 +176,28 @@
                 case DATA -> {
                     if (responses) {
                         out.add(state.parser.data());
-                    } else if (state.reservation.tryGrow(state.parser.data().length)) {
-                        state.body.writeBytes(state.parser.data());
                     } else {
-                        throw new HttpException(503, "no room for more bodies at present");
+                        append(state, state.parser.data());
                     }
                 }
                 default -> {
                     if (!responses) {
-                        out.add(new HttpRequest(
-                                head, state.body.toByteArray(), state.reservation, arrival.getAsLong()));
-                        state.reservation = newReservation();
+                        out.add(state.takeRequest());
                     } else if (!state.interim) {
                         out.add(END_OF_RESPONSE);
                     }
-                    state.body = new ByteArrayOutputStream();
                 }
             }
         }
     }
 
-    private MemoryBudget.Reservation newReservation() {
-        return bodyBudget == null ? null : bodyBudget.newReservation();
+    private static void append(State state, byte[] data) throws HttpException {
+        state.body.append(ByteBuffer.wrap(data), data.length);
+        state.reserveReceived();
     }
 
-    private static void discardBody(State state) {
-        if (state.reservation != null) {
-            state.reservation.release();
-        }
-        state.body = new ByteArrayOutputStream();
-    }
-
-    /** Releases the body's memory; runs on any thread, when the connection closes. */
-    private static void onClose(State state) {
-        synchronized (state) {
-            state.failed = true;
-            discardBody(state);
-        }
+    private static HttpException noRoom() {
+        return new HttpException(503, "no room for more bodies at present");
     }
 
     @Override
--- a/src/main/java/gorserill/protocol/http/HttpCodecWarmUp.java
+++ b/src/main/java/gorserill/protocol/http/HttpCodecWarmUp.java
@@ -50,6 +50,6 @@
         while (event != HttpParser.Event.END) {
             event = parser.next();
         }
-        return parser.head();
+        return parser.takeHead();
     }
 }
--- a/src/main/java/gorserill/protocol/http/HttpFrontend.java
+++ b/src/main/java/gorserill/protocol/http/HttpFrontend.java
@@ -193,10 +193,9 @@
          * protocol can have a request open here.
          */
         private void rejectMalformed(int status, String why) {
-            if (current != null) {
-                core.withdraw(handle);
-            }
-            reject(status, why);
+            boolean mayHaveRun = current != null && core.withdraw(handle);
+            // 503 would say that the job did not run.
+            reject(mayHaveRun && status == 503 ? 500 : status, why);
         }
 
         @Override
--- a/src/main/java/gorserill/protocol/http/HttpParser.java
+++ b/src/main/java/gorserill/protocol/http/HttpParser.java
@@ -31,6 +31,13 @@
     }
 
     private static final int MAX_HEAD_BYTES = 16 * 1024;
+    /** Fields of a request's head; each costs many times the memory of its shortest form on the wire. */
+    private static final int MAX_HEADER_FIELDS = 256;
+    /** Memory of a head, and of each field, beside their text. */
+    private static final int HEAD_OVERHEAD_BYTES = 512;
+
+    private static final int FIELD_OVERHEAD_BYTES = 160;
+    private static final int IDLE_BUFFER_BYTES = 512;
     private static final int MAX_CHUNK_LINE_BYTES = 1024;
     private static final int MAX_LEADING_EMPTY_LINES = 8;
     /** Headers that must not be repeated: for framing, routing or the job it would be ambiguous which value applies. */
@@ -46,13 +53,14 @@
 
     private final boolean responses;
     private final int maxBodyBytes;
-    private byte[] buffer = new byte[512];
+    private byte[] buffer = new byte[IDLE_BUFFER_BYTES];
     /** The unread input is {@code buffer[from]} to {@code buffer[to - 1]}. */
     private int from;
 
     private int to;
     private State state = State.HEAD;
     private HttpHead head;
+    private int headMemoryBytes;
     private Set<String> repeated = Set.of();
     private String methodOrVersion;
     private String targetOrStatus;
@@ -92,6 +100,34 @@
         return head;
     }
 
+    /** Returns the head of the message that has ended, and lets go of it: the connection may rest from now on. */
+    HttpHead takeHead() {
+        HttpHead taken = head;
+        head = null;
+        headMemoryBytes = 0;
+        return taken;
+    }
+
+    /** Memory of the head of the current message, in bytes. */
+    int headMemoryBytes() {
+        return headMemoryBytes;
+    }
+
+    /** Memory of what was received and not handed on yet, in bytes; 0 on a connection that rests. */
+    int bufferedMemoryBytes() {
+        return buffer.length > IDLE_BUFFER_BYTES ? buffer.length : to - from;
+    }
+
+    /** Releases a large buffer that is empty. */
+    void trim() {
+        if (from == to && buffer.length > IDLE_BUFFER_BYTES) {
+            buffer = new byte[IDLE_BUFFER_BYTES];
+            from = 0;
+            to = 0;
+            searchedUpTo = 0;
+        }
+    }
+
     /** Returns the part of the body that belongs to the last {@link Event#DATA}. */
     byte[] data() {
         return data;
@@ -231,10 +267,15 @@
         int end = text.indexOf("\r\n");
         parseStartLine(text.substring(0, end));
         Map<String, String> headers = new HashMap<>();
+        int fields = 0;
         for (int from = end + 2; from + 2 < text.length(); from = end + 2) {
+            if (++fields > MAX_HEADER_FIELDS && !responses) {
+                throw new HttpException(431, "more than " + MAX_HEADER_FIELDS + " header fields");
+            }
             end = text.indexOf("\r\n", from);
             parseHeader(text, from, end, headers);
         }
+        headMemoryBytes = HEAD_OVERHEAD_BYTES + text.length() + FIELD_OVERHEAD_BYTES * fields;
         head = new HttpHead(methodOrVersion, targetOrStatus, versionOrReason, headers, repeated);
         repeated = Set.of();
         determineFraming();
--- a/src/main/java/gorserill/transport/LoopHandoffFilter.java
+++ b/src/main/java/gorserill/transport/LoopHandoffFilter.java
@@ -5,6 +5,7 @@
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.FilterChainEvent;
 import org.glassfish.grizzly.filterchain.NextAction;
 
 /** The last filter of every chain: queues the messages that the codec decoded for the loop's thread. */
@@ -52,4 +53,14 @@
         }
         return ctx.getStopAction();
     }
+
+    @Override
+    public NextAction handleEvent(FilterChainContext ctx, FilterChainEvent event) {
+        Channel channel = channels.get(ctx.getConnection());
+        if (event instanceof InputRejected rejected && channel != null) {
+            executor.execute(() -> channel.listener.received(List.of(rejected.error())));
+            return ctx.getStopAction();
+        }
+        return ctx.getInvokeAction();
+    }
 }
