Core: a job that must not run twice is not run again under its id

What callers saw: an HTTP client closed its connection while a worker ran its never-twice job; sent again under its id on a new connection the job ran again. The same at the other process of an upgrade, and after the first answer.

Cause: the core forgot an id as soon as its request was over, although a worker may still have been running the job. Only the Faktory front kept fates, for itself; processes of an upgrade shared open ids only.

Evidence: on the former code the new scenarios and UpgradeTest's new case fail: no 409 comes, since the second request goes to a worker.

Change: UnsafeJobMemory in the core keeps the last 4,096 unsafe jobs from when they are handed to a worker, for both fronts, and forgets those that provably never ran. SiblingProcesses publishes these ids beside the open ones; the process that stays takes them over when the other ends. HTTP answers 409, the Faktory front the first answer or -ERR failed. The Faktory front's own table is gone; its log line per repeat is throttled.

--- a/src/main/java/gorserill/common/MemoryBudget.java
+++ b/src/main/java/gorserill/common/MemoryBudget.java
@@ -78,11 +78,6 @@
             return tryResize(newBytes, false);
         }
 
-        /** Like {@link #tryResize}, for a message that is complete; from now on it is not evicted. */
-        public boolean tryComplete(long newBytes) {
-            return tryResize(newBytes, true);
-        }
-
         private boolean tryResize(long newBytes, boolean completes) {
             List<Reservation> evicted = new ArrayList<>();
             boolean resized;
@@ -100,6 +95,11 @@
             return resized;
         }
 
+        /** Like {@link #tryResize}, for a message that is complete; from now on it is not evicted. */
+        public boolean tryComplete(long newBytes) {
+            return tryResize(newBytes, true);
+        }
+
         private boolean makeRoom(long moreBytes, boolean evictsAny, List<Reservation> evicted) {
             long stalledSince = nanoClock.getAsLong() - STALL_MILLIS * NANOS_PER_MILLI;
             Iterator<Reservation> oldest = incomplete.iterator();
--- a/src/main/java/gorserill/common/SiblingProcesses.java
+++ b/src/main/java/gorserill/common/SiblingProcesses.java
@@ -8,31 +8,40 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 
 /**
  * Shared state of the processes of one node that run at the same time, as during an upgrade: how many descriptors
- * each process holds and which requests are open in it. Each process owns a slot, a mapped file whose lock lasts as
- * long as the process. {@link #reportConnections} and {@link #descriptorsElsewhere} may be called from any thread,
- * all else on the loop's thread only.
+ * each process holds, which requests are open in it, and which jobs that must not run twice it has handed to workers.
+ * The last outlast their process: those that run beside it take them over when it ends. Each process owns a slot, a
+ * mapped file whose lock lasts as long as the process. {@link #reportConnections} and {@link #descriptorsElsewhere} may
+ * be called from any thread, all else on the loop's thread only.
  */
 public final class SiblingProcesses {
     /** An old process, its successor, and one more that died during a handover. */
     private static final int MAX_PROCESSES = 3;
     /** Open requests that are published; further ones are not. */
     private static final int MAX_REQUEST_IDS = 1_023;
+    /** Unsafe jobs that are published, and that are taken over from processes that have ended. */
+    public static final int MAX_UNSAFE_JOBS = 4_096;
+
+    private static final int FIRST_UNSAFE_JOB = 1 + MAX_REQUEST_IDS;
 
     private static final long REFRESH_MICROS = 250_000;
 
     private final Loop loop;
     private final List<Path> slotFiles = new ArrayList<>();
     private final int reservedDescriptors;
-    /** Buffer entry of each published request, by request id. */
-    private final Map<String, Integer> openEntries = new HashMap<>();
+    /** Null for a process that never has siblings, like the next one. */
+    private PublishedIds openIds;
+
+    private PublishedIds unsafeIds;
+    /** Hashes of the unsafe jobs of processes that have ended, oldest first. */
+    private final Set<Long> inheritedUnsafeJobs = new LinkedHashSet<>();
 
-    private final List<Integer> freeEntries = new ArrayList<>();
     private int ownSlot = -1;
     private LongBuffer ownBuffer;
     /** Held until the process ends. */
@@ -87,7 +96,7 @@
     }
 
     private static LongBuffer map(FileChannel channel) throws IOException {
-        return channel.map(FileChannel.MapMode.READ_WRITE, 0, (1 + MAX_REQUEST_IDS) * Long.BYTES)
+        return channel.map(FileChannel.MapMode.READ_WRITE, 0, (FIRST_UNSAFE_JOB + MAX_UNSAFE_JOBS) * Long.BYTES)
                 .asLongBuffer();
     }
 
@@ -100,13 +109,18 @@
         }
         ownSlot = slot;
         ownBuffer = map(channel);
-        for (int i = 0; i <= MAX_REQUEST_IDS; i++) {
-            // The previous owner of the slot has ended, so its entries are no longer valid.
-            ownBuffer.put(i, 0);
-        }
-        for (int i = MAX_REQUEST_IDS; i > 0; i--) {
-            freeEntries.add(i);
-        }
+        // The previous owner of the slot has ended, so its entries are no longer valid.
+        ownBuffer.put(0, 0);
+        openIds = new PublishedIds(openIdsIn(ownBuffer));
+        unsafeIds = new PublishedIds(unsafeJobsIn(ownBuffer));
+    }
+
+    private static LongBuffer openIdsIn(LongBuffer slot) {
+        return slot.slice(1, MAX_REQUEST_IDS);
+    }
+
+    private static LongBuffer unsafeJobsIn(LongBuffer slot) {
+        return slot.slice(FIRST_UNSAFE_JOB, MAX_UNSAFE_JOBS);
     }
 
     /** Detects periodically which other processes are alive. */
@@ -115,7 +129,12 @@
             if (slot != ownSlot) {
                 try (FileChannel channel = channel(slotFiles.get(slot));
                         FileLock otherLock = lock(channel)) {
-                    lastSeen[slot] = otherLock == null ? map(channel) : null;
+                    if (otherLock == null) {
+                        lastSeen[slot] = map(channel);
+                    } else if (lastSeen[slot] != null) {
+                        inheritUnsafeJobs(unsafeJobsIn(lastSeen[slot]));
+                        lastSeen[slot] = null;
+                    }
                 } catch (IOException e) {
                     // A process out of descriptors can't open the file. The last known state is kept until it can,
                     // because treating a live process as gone would accept requests whose ids are open there.
@@ -132,6 +151,21 @@
         loop.at(loop.now() + REFRESH_MICROS, this::refresh);
     }
 
+    /** Called while the lock of the ended process's slot is held, so that no successor clears the entries meanwhile. */
+    private void inheritUnsafeJobs(LongBuffer jobs) {
+        for (int entry = 0; entry < jobs.capacity(); entry++) {
+            long hash = jobs.get(entry);
+            if (hash != 0) {
+                inheritedUnsafeJobs.add(hash);
+            }
+        }
+        Iterator<Long> oldest = inheritedUnsafeJobs.iterator();
+        while (inheritedUnsafeJobs.size() > MAX_UNSAFE_JOBS) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
     public boolean isAlone() {
         return otherBuffers.isEmpty();
     }
@@ -154,44 +188,54 @@
 
     /** Publishes a request that is open in this process. */
     public void requestOpened(String id) {
-        if (ownBuffer != null && !freeEntries.isEmpty()) {
-            int entry = freeEntries.remove(freeEntries.size() - 1);
-            openEntries.put(id, entry);
-            ownBuffer.put(entry, hash(id));
+        if (openIds != null) {
+            openIds.add(id);
         }
     }
 
     /** Removes a request that is no longer open in this process. */
     public void requestClosed(String id) {
-        Integer entry = openEntries.remove(id);
-        if (entry != null) {
-            ownBuffer.put(entry, 0);
-            freeEntries.add(entry);
+        if (openIds != null) {
+            openIds.remove(id);
         }
     }
 
     /** Whether a request of this id is open in another process. */
     public boolean isOpenElsewhere(String id) {
-        if (otherBuffers.isEmpty()) {
-            return false;
-        }
-        long hash = hash(id);
+        long hash = otherBuffers.isEmpty() ? 0 : PublishedIds.hash(id);
         for (LongBuffer other : otherBuffers) {
-            for (int i = 1; i <= MAX_REQUEST_IDS; i++) {
-                if (other.get(i) == hash) {
-                    return true;
-                }
+            if (PublishedIds.contains(openIdsIn(other), hash)) {
+                return true;
             }
         }
         return false;
     }
 
-    /** 64-bit FNV-1a; never 0, which marks an unused entry. */
-    private static long hash(String id) {
-        long hash = 0xcbf29ce484222325L;
-        for (int i = 0; i < id.length(); i++) {
-            hash = (hash ^ id.charAt(i)) * 0x100000001b3L;
+    /** Publishes an unsafe job that this process hands to a worker. */
+    public void unsafeJobHandedOut(String id) {
+        if (unsafeIds != null) {
+            unsafeIds.add(id);
+        }
+    }
+
+    /** Removes an unsafe job that has provably not run, or that is too old to be remembered. */
+    public void unsafeJobForgotten(String id) {
+        if (unsafeIds != null) {
+            unsafeIds.remove(id);
+        }
+    }
+
+    /** Whether another process, running or ended, has handed an unsafe job of this id to a worker. */
+    public boolean mayHaveRunElsewhere(String id) {
+        if (otherBuffers.isEmpty() && inheritedUnsafeJobs.isEmpty()) {
+            return false;
+        }
+        long hash = PublishedIds.hash(id);
+        for (LongBuffer other : otherBuffers) {
+            if (PublishedIds.contains(unsafeJobsIn(other), hash)) {
+                return true;
+            }
         }
-        return hash == 0 ? 1 : hash;
+        return inheritedUnsafeJobs.contains(hash);
     }
 }
--- a/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
@@ -1,6 +1,5 @@
 package gorserill.protocol.faktory;
 
-import barrowflow.Dispatcher.Effect;
 import barrowflow.Dispatcher.Worker;
 import barrowflow.Dispatcher.WorkerState;
 import com.fasterxml.jackson.core.JsonFactory;
@@ -22,6 +21,7 @@
 import gorserill.routing.Core;
 import gorserill.routing.JobContract;
 import gorserill.routing.JobSpec;
+import gorserill.routing.PastOutcome;
 import gorserill.routing.RequestOptions;
 import gorserill.routing.ResponseHandler;
 import gorserill.transport.Channel;
@@ -38,7 +38,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -74,8 +73,6 @@
     private static final int FIRST_ZONE = 1 << 16;
     /** Machine kind of Faktory workers, which don't report one. */
     private static final int UNKNOWN_MACHINE_KIND = 255;
-    /** Number of unsafe jobs, by jid, whose outcomes are remembered; the oldest are evicted first. */
-    private static final int MAX_REMEMBERED_OUTCOMES = 4_096;
 
     private final Loop loop;
     private final Core core;
@@ -89,19 +86,6 @@
     private final long startedAt;
     private final Set<Session> sessions = new HashSet<>();
     private final Map<String, RegisteredWorker> registeredWorkers = new HashMap<>();
-    /**
-     * Outcomes of unsafe jobs: whether the job with this jid was served. A client that lost its connection pushes the
-     * job again, and an unsafe job must not run twice.
-     */
-    private final Map<String, Boolean> servedByJid = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_REMEMBERED_OUTCOMES;
-        }
-    };
-
     private long assignedWorkerIds;
     private long servedJobs;
     private long failedJobs;
@@ -446,11 +430,12 @@
         }
 
         private void push(FaktoryJob job, String text) throws IOException {
-            Boolean served = servedByJid.get(job.jid());
-            if (served != null) {
+            PastOutcome outcome = core.isOpen(job.jid()) ? null : core.pastOutcome(job.jid());
+            if (outcome != null) {
                 // The recorded outcome is the reply, even if the contract no longer accepts such a job.
-                LOG.log(Level.INFO, "job {0} was pushed again; not run again", job.jid());
-                channel.write(served ? Replies.OK : Replies.error("failed: it may have run before"));
+                warnings.add("pushed again", "job " + job.jid() + " is not run again");
+                channel.write(
+                        outcome == PastOutcome.SERVED ? Replies.OK : Replies.error("failed: it may have run before"));
                 return;
             }
             Admission admission = null;
@@ -492,11 +477,7 @@
             long remainingMicros = job.remainingMs() < 0 ? maxMicros : Math.min(maxMicros, job.remainingMs() * 1_000);
             double slots = job.slots() >= 0 ? job.slots() : operationTerms == null ? 1 : operationTerms.usualSlots();
             JobContract jobContract = admission == null ? null : gate.bind(admission, job.jid());
-            Push submitted = new Push(
-                    this,
-                    job.jid(),
-                    jobClass.unsafe() || jobContract != null && jobContract.effect() == Effect.UNSAFE,
-                    reservation);
+            Push submitted = new Push(this, reservation);
             pendingPush = submitted;
             long handle = core.submit(
                     submitted,
@@ -668,22 +649,17 @@
     /** A pushed job whose reply is pending. */
     private final class Push implements ResponseHandler {
         private final Session session;
-        private final String jid;
-        private final boolean unsafe;
         private final MemoryBudget.Reservation reservation;
         private long handle;
 
-        Push(Session session, String jid, boolean unsafe, MemoryBudget.Reservation reservation) {
-            this.reservation = reservation;
+        Push(Session session, MemoryBudget.Reservation reservation) {
             this.session = session;
-            this.jid = jid;
-            this.unsafe = unsafe;
+            this.reservation = reservation;
         }
 
         @Override
         public void served(byte[] result) {
             servedJobs++;
-            recordOutcome(true);
             answer(Replies.OK);
         }
 
@@ -696,7 +672,6 @@
         @Override
         public void failed() {
             failedJobs++;
-            recordOutcome(false);
             answer(Replies.error("failed: it may have run"));
         }
 
@@ -705,12 +680,6 @@
             return session.channel.isClosed() || session.channel.isReadLagging();
         }
 
-        private void recordOutcome(boolean served) {
-            if (unsafe) {
-                servedByJid.put(jid, served);
-            }
-        }
-
         private void answer(byte[] reply) {
             reservation.release();
             session.pendingPush = null;
@@ -724,13 +693,11 @@
 
         /**
          * Withdraws the job because its client has disconnected or its connection is being closed. The outcome is not
-         * reported to the client; if an unsafe job may have run, a repeated PUSH of it is answered with -ERR.
+         * reported to the client; the core remembers an unsafe job that may have run.
          */
         void abandon() {
             reservation.release();
-            if (core.withdraw(handle)) {
-                recordOutcome(false);
-            }
+            core.withdraw(handle);
         }
     }
 }
--- a/src/main/java/gorserill/protocol/http/HttpFrontend.java
+++ b/src/main/java/gorserill/protocol/http/HttpFrontend.java
@@ -297,6 +297,8 @@
                 reject(400, "X-Txn is missing or too long");
             } else if (core.isOpen(id)) {
                 reject(409, "X-Txn is that of an open request");
+            } else if (core.pastOutcome(id) != null) {
+                reject(409, "X-Txn is that of a job that must not run twice and may have run");
             } else if (classInfo.keyed() && (idempotencyKey == null || idempotencyKey.isEmpty())) {
                 reject(400, "a job of class " + jobClass + " needs Idempotency-Key");
             } else if (intake == IntakeMode.CLOSED) {
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -42,6 +42,8 @@
     /** Client-given ids of the open requests. */
     private final Set<String> openIds = new HashSet<>();
 
+    private final UnsafeJobMemory unsafeJobs;
+
     private final SlotTable<Attempt> attempts = new SlotTable<>();
     private final Map<Long, WorkerPort> ports = new HashMap<>();
     /** Workers that registered with this node themselves and therefore are not part of discovery's list. */
@@ -77,6 +79,7 @@
             SiblingProcesses siblings,
             BiFunction<Long, Dispatcher.Actions, Dispatcher> moduleFactory) {
         this.siblings = siblings;
+        unsafeJobs = new UnsafeJobMemory(siblings);
         this.loop = loop;
         this.settings = settings;
         this.subscribe = subscribe;
@@ -96,7 +99,15 @@
         return openIds.contains(id) || siblings.isOpenElsewhere(id);
     }
 
-    /** Submits a request whose id is not open; returns its handle. */
+    /**
+     * What became of an earlier job of this id that must not run twice; null if there was none, as far as is known.
+     * Such a job must not be submitted again.
+     */
+    public PastOutcome pastOutcome(String id) {
+        return unsafeJobs.outcome(id);
+    }
+
+    /** Submits a request whose id is not open and has no past outcome; returns its handle. */
     public long submit(ResponseHandler handler, JobSpec job, RequestOptions options) {
         long now = now();
         long expires = Math.min(answerDeadline, options.arrivedAt() + options.timeLeft());
@@ -335,6 +346,9 @@
         request.openAttempts--;
         attempt.neverRan |= outcome.neverRan;
         // The response is sent before the module is updated, so that the client does not wait for bookkeeping.
+        if (outcome == Outcome.SERVED) {
+            unsafeJobs.served(request.job.id());
+        }
         if (outcome == Outcome.SERVED && !request.concluded) {
             conclude(request);
             JobContract contract = request.job.contract();
@@ -425,10 +439,11 @@
     }
 
     private void releaseIfDone(Request request) {
-        if (request.concluded
-                && request.openAttempts == 0
-                && requests.remove(request.handle) != null
-                && request.job.contract() != null) {
+        boolean done = request.concluded && request.openAttempts == 0 && requests.remove(request.handle) != null;
+        if (done && request.effect == Dispatcher.Effect.UNSAFE && provenNeverRun(request)) {
+            unsafeJobs.neverRan(request.job.id());
+        }
+        if (done && request.job.contract() != null) {
             request.job.contract().release();
         }
     }
@@ -465,6 +480,9 @@
             loop.execute(() -> ended(attempt, Outcome.NOT_SENT, null, Load.NONE));
             return;
         }
+        if (request.effect == Dispatcher.Effect.UNSAFE) {
+            unsafeJobs.handedOut(request.job.id());
+        }
         attempt.sentAt = now();
         attempt.port.start(attempt, request.job, request.expiresAt);
     }
--- a/src/test/java/gorserill/program/UpgradeTest.java
+++ b/src/test/java/gorserill/program/UpgradeTest.java
@@ -95,6 +95,56 @@
         }
     }
 
+    /** Guards against a second run of a job that the other process handed to a worker, also once that has ended. */
+    @Test
+    public void aJobThatMustNotRunTwiceIsNotRunAgainByTheOtherProcess() throws Exception {
+        fixture = new Fixture(
+                scenario.standIn("discovery"),
+                Fixture.endpoint("w1", scenario.standIn("w1"), "in_service"),
+                15_000,
+                Fixture.FAKTORY_ON);
+        scenario.front("clients", fixture.clients);
+        scenario.front("faktory", fixture.faktory);
+        fixture.environment.put("TMPDIR", Files.createTempDirectory("upgrade").toString());
+        try (SocketHolder holder = new SocketHolder(fixture.clients)) {
+            ProcessHandle first = start(holder, "first");
+            CompletableFuture<ProcessHandle> end = first.onExit();
+            scenario.call("upgrade", () -> start(holder, "second"));
+            scenario.call("term", first::destroy);
+            scenario.run("""
+                R ready first
+                C connect clients
+                C send JOB alerta a-1 5000 served
+                W accept w1
+                W expect served
+                W send ANSWER
+                W send LAST {"state":"done","result":"one"}
+                C expect 200 OK.*one
+                C send JOB estado a-2 5000 open
+                W expect open
+                W send ANSWER
+                W send EVENT {"state":"started"}
+                X call upgrade
+                R ready second
+                X call term
+                R expect <closed>
+                - wait 100
+                D connect clients
+                D send JOB alerta a-1 5000 twice
+                D expect@0-500 409
+                W send LAST {"state":"done","result":"two"}
+                C expect 200 OK.*two
+                """.lines().toList());
+            end.get(5, TimeUnit.SECONDS);
+            scenario.run("""
+                - wait 500
+                E connect clients
+                E send JOB alerta a-1 5000 twice
+                E expect@0-500 409
+                """.lines().toList());
+        }
+    }
+
     /** Danger: the platform sends its calls to one of the two; the rules see one node. */
     @Test
     public void aBanBindsBothProcessesAndOutlastsTheFirst() throws Exception {
