Faktory: FAIL and late ACK no longer write a log line for each command

What operators saw: a worker's connection that acknowledges or fails unknown jobs at full speed fills the log, two lines for a FAIL.

Cause: two log lines of the worker's commands had no limit, unlike those of refused commands.

Evidence: by hand 605 kB of log in 5 s; the new FaktoryLogTest on the former code: "601 lines for 400 commands".

Change: both go through ThrottledWarnings, as a kind of their own.

--- a/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
@@ -79,6 +79,7 @@
     private final Tenants tenants;
     private final long nodeSeed;
     private final ThrottledWarnings warnings;
+    private final ThrottledWarnings workerWarnings;
     private final Predicate<String> isBanned;
     private final ContractGate gate;
     private FaktorySettings settings;
@@ -154,6 +155,7 @@
         this.isBanned = isBanned;
         this.loop = loop;
         warnings = new ThrottledWarnings(loop, LOG, "faktory connections");
+        workerWarnings = new ThrottledWarnings(loop, LOG, "faktory workers");
         this.core = core;
         this.settings = settings;
         random = new SplittableRandom(seed);
@@ -386,8 +388,7 @@
                 if (verb.equals("ACK")) {
                     registration.worker.ack(jid);
                 } else {
-                    LOG.log(Level.INFO, "faktory worker {0} failed job {1}", new Object[] {registration.worker.wid, jid
-                    });
+                    workerWarnings.add("FAIL", "worker " + registration.worker.wid + " failed job " + jid);
                     registration.worker.fail(jid);
                 }
             }
@@ -420,8 +421,8 @@
         private void join(String wid) {
             registration = registeredWorkers.get(wid);
             if (registration == null) {
-                registration = new RegisteredWorker(
-                        new FaktoryWorker(loop, () -> settings, wid, FIRST_WORKER_ID + assignedWorkerIds++));
+                registration = new RegisteredWorker(new FaktoryWorker(
+                        loop, () -> settings, wid, FIRST_WORKER_ID + assignedWorkerIds++, workerWarnings));
                 registeredWorkers.put(wid, registration);
                 LOG.log(Level.INFO, "faktory worker {0} joined", wid);
                 publishState(registration);
--- a/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
@@ -3,6 +3,7 @@
 import barrowflow.Dispatcher.Outcome;
 import gorserill.common.Deadlines.Deadline;
 import gorserill.common.Loop;
+import gorserill.common.ThrottledWarnings;
 import gorserill.routing.Attempt;
 import gorserill.routing.JobSpec;
 import gorserill.routing.Load;
@@ -21,8 +22,6 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 
 /**
  * A Faktory worker process, identified by its {@code wid} across all of its connections. Each pending FETCH counts as
@@ -30,7 +29,6 @@
  * its reservation time.
  */
 final class FaktoryWorker implements WorkerPort {
-    private static final Logger LOG = Logger.getLogger(FaktoryWorker.class.getName());
     private static final byte[] EMPTY_RESULT = {};
     /** How long a job waits for a FETCH before it is returned to the core, not started. */
     private static final long MAX_WAIT_MICROS = 500_000;
@@ -84,6 +82,7 @@
     final long id;
     private final Loop loop;
     private final Supplier<FaktorySettings> settings;
+    private final ThrottledWarnings warnings;
     private final Deque<Fetcher> fetchers = new ArrayDeque<>();
     private final Deque<WaitingJob> waiting = new ArrayDeque<>();
     private final Map<String, Reservation> reservations = new HashMap<>();
@@ -95,8 +94,12 @@
 
     private boolean left;
 
-    /** @param settings supplies the settings currently in force */
-    FaktoryWorker(Loop loop, Supplier<FaktorySettings> settings, String wid, long id) {
+    /**
+     * @param settings supplies the settings currently in force
+     * @param warnings receives what is unusual about the worker's commands
+     */
+    FaktoryWorker(Loop loop, Supplier<FaktorySettings> settings, String wid, long id, ThrottledWarnings warnings) {
+        this.warnings = warnings;
         this.loop = loop;
         this.settings = settings;
         this.wid = wid;
@@ -193,9 +196,7 @@
     private void settle(String jid, Outcome outcome, byte[] result) {
         Reservation reservation = reservations.remove(jid);
         if (reservation == null) {
-            LOG.log(Level.INFO, "faktory worker {0}: late word on job {1}: {2}; nothing changes", new Object[] {
-                wid, jid, outcome
-            });
+            warnings.add("late word", "worker " + wid + " on job " + jid + ": " + outcome + "; nothing changes");
             abandoned.remove(jid);
             return;
         }
