Soak: a planted untold drain is made at a worker that the node uses

Cause: the node sends to two or three of the six workers. Where none of those was drawn to drain, no late send was made and there was nothing to find. The check itself was right.

Change: where this plant is set, a worker in service that is drawn to drain is replaced by the one that a job reached last.

--- a/src/main/java/gorserill/program/soak/FaultSchedule.java
+++ b/src/main/java/gorserill/program/soak/FaultSchedule.java
@@ -111,9 +111,21 @@
         return random.nextInt(bound);
     }
 
+    /**
+     * The worker that was drawn, unless a drain is planted: that shows only at a worker which the nodes use, and they
+     * use some of the workers alone.
+     */
+    private int workerToChange(int drawn) {
+        if (plan.plant() != Plant.DRAIN_UNTOLD || states[drawn] != Status.IN_SERVICE) {
+            return drawn;
+        }
+        int used = oracle.workerOfLastSend(drawn);
+        return states[used] == Status.IN_SERVICE ? used : drawn;
+    }
+
     /** A worker in service begins to drain, one that drains goes or comes back, one that is gone comes back cold. */
     private void changeWorker() {
-        int worker = draw(workers.size());
+        int worker = workerToChange(draw(workers.size()));
         long inService = java.util.Arrays.stream(states)
                 .filter(s -> s == Status.IN_SERVICE)
                 .count();
--- a/src/main/java/gorserill/program/soak/Oracle.java
+++ b/src/main/java/gorserill/program/soak/Oracle.java
@@ -157,6 +157,11 @@
         sends.add(send);
     }
 
+    /** The worker that a job reached last; {@code otherwise} if none has. */
+    synchronized int workerOfLastSend(int otherwise) {
+        return sends.isEmpty() ? otherwise : sends.get(sends.size() - 1).worker();
+    }
+
     /** All that was violated, the first first. */
     synchronized List<Violation> violations() {
         List<Violation> all = new ArrayList<>();
