Faktory: password check and INFO in modules of their own

FaktoryFrontend had grown to 700 lines, with the hash of the password and the encoding of INFO among the connection's state.

PasswordChallenge and ServerInfo take them over; a HELLO without pwdhash is now told apart from one whose hash is the text "null". Replies on the wire are as they were.

--- a/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
@@ -2,8 +2,6 @@
 
 import barrowflow.Dispatcher.Worker;
 import barrowflow.Dispatcher.WorkerState;
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
 import gorserill.common.Deadlines.Deadline;
 import gorserill.common.Loop;
@@ -26,18 +24,12 @@
 import gorserill.routing.ResponseHandler;
 import gorserill.transport.Channel;
 import gorserill.transport.ChannelListener;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,8 +47,7 @@
 public final class FaktoryFrontend implements ClientFrontend {
     private static final Logger LOG = Logger.getLogger(FaktoryFrontend.class.getName());
     private static final int PROTOCOL_VERSION = 2;
-    /** Rounds of SHA-256 over the password and salt, sent to the client in HI. */
-    private static final int HASH_ITERATIONS = 1_545;
+    private static final long MICROS_PER_SECOND = 1_000_000;
     /** Maximum number of commands that one connection may pipeline. */
     private static final int MAX_QUEUED_COMMANDS = 64;
     /** Time limit for HELLO after the connection opens, and for the rest of a line after its first byte. */
@@ -229,23 +220,10 @@
         return "refused: not run, try again in " + (waitMicros + 999) / 1_000 + " ms";
     }
 
-    private static String digest(String password, String salt, int iterations) {
-        try {
-            MessageDigest sha = MessageDigest.getInstance("SHA-256");
-            byte[] hash = sha.digest((password + salt).getBytes(StandardCharsets.UTF_8));
-            for (int i = 1; i < iterations; i++) {
-                hash = sha.digest(hash);
-            }
-            return HexFormat.of().formatHex(hash);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     /** A connection of a client, a worker or a process that is both. Its commands are processed one at a time. */
     private final class Session implements ChannelListener, FaktoryWorker.Fetcher {
         private final Deque<FaktoryCodec.Line> queuedCommands = new ArrayDeque<>();
-        private final String salt = Long.toHexString(random.nextLong());
+        private final PasswordChallenge challenge = new PasswordChallenge(Long.toHexString(random.nextLong()));
         private Channel channel;
         private boolean helloAccepted;
         private boolean ended;
@@ -266,10 +244,8 @@
             sessions.add(this);
             restartIdleTimeout();
             lineTimeout = loop.at(loop.now() + LINE_TIMEOUT_MICROS, () -> refuse("no whole HELLO in time", true));
-            channel.write(Replies.simple("HI {\"v\":" + PROTOCOL_VERSION
-                    + (settings.password().isEmpty()
-                            ? "}"
-                            : ",\"s\":\"" + salt + "\",\"i\":" + HASH_ITERATIONS + "}")));
+            channel.write(Replies.simple(
+                    "HI {\"v\":" + PROTOCOL_VERSION + (settings.password().isEmpty() ? "" : challenge.fields()) + "}"));
         }
 
         private void restartIdleTimeout() {
@@ -402,10 +378,7 @@
             } else if (version != null && !version.equals(Integer.toString(PROTOCOL_VERSION))) {
                 refuse("protocol version " + version + " is not spoken here, " + PROTOCOL_VERSION + " is", true);
             } else if (!settings.password().isEmpty()
-                    && !MessageDigest.isEqual(
-                            digest(settings.password(), salt, HASH_ITERATIONS).getBytes(StandardCharsets.UTF_8),
-                            String.valueOf(FaktoryJob.textField(rest, "pwdhash"))
-                                    .getBytes(StandardCharsets.UTF_8))) {
+                    && !challenge.isAnsweredBy(FaktoryJob.textField(rest, "pwdhash"), settings.password())) {
                 refuse("invalid password", true);
             } else {
                 helloAccepted = true;
@@ -559,28 +532,16 @@
         }
 
         private byte[] info() {
-            ByteArrayOutputStream out = new ByteArrayOutputStream();
-            try (JsonGenerator json = new JsonFactory().createGenerator(out)) {
-                json.writeStartObject();
-                json.writeStringField("server_utc_time", Instant.now().toString());
-                json.writeObjectFieldStart("faktory");
-                json.writeNumberField("total_enqueued", core.openRequests());
-                json.writeNumberField("total_processed", servedJobs);
-                json.writeNumberField("total_failures", failedJobs);
-                json.writeNumberField("total_queues", settings.queues().size());
-                json.writeEndObject();
-                json.writeObjectFieldStart("server");
-                json.writeStringField("description", "gorserill");
-                json.writeNumberField("connections", sessions.size());
-                json.writeNumberField("workers", registeredWorkers.size());
-                json.writeNumberField("command_count", commandCount);
-                json.writeNumberField("uptime", (loop.now() - startedAt) / 1_000_000);
-                json.writeEndObject();
-                json.writeEndObject();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-            return out.toByteArray();
+            return new ServerInfo(
+                            core.openRequests(),
+                            servedJobs,
+                            failedJobs,
+                            settings.queues().size(),
+                            sessions.size(),
+                            registeredWorkers.size(),
+                            commandCount,
+                            (loop.now() - startedAt) / MICROS_PER_SECOND)
+                    .toJson();
         }
 
         private void refuse(String reason, boolean close) {
