--- a/src/test/java/gorserill/program/UpgradeTest.java
+++ b/src/test/java/gorserill/program/UpgradeTest.java
@@ -22,14 +22,7 @@
         scenario = new Scenario();
     }
 
-    @AfterMethod
-    public void close() throws IOException {
-        scenario.close();
-    }
-
-    /** Danger: a client that meets a process which is not ready, or none, is lost to the node. */
-    @Test
-    public void theNewProcessTakesOverWhatTheOldOneLeaves() throws Exception {
+    private void configureWithOneWorker() throws IOException {
         fixture = new Fixture(
                 scenario.standIn("discovery"),
                 Fixture.endpoint("w1", scenario.standIn("w1"), "in_service"),
@@ -38,6 +31,17 @@
         scenario.front("clients", fixture.clients);
         scenario.front("faktory", fixture.faktory);
         fixture.environment.put("TMPDIR", Files.createTempDirectory("upgrade").toString());
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        scenario.close();
+    }
+
+    /** Danger: a client that meets a process which is not ready, or none, is lost to the node. */
+    @Test
+    public void theNewProcessTakesOverWhatTheOldOneLeaves() throws Exception {
+        configureWithOneWorker();
         try (SocketHolder holder = new SocketHolder(fixture.clients)) {
             ProcessHandle first = start(holder, "first");
             CompletableFuture<ProcessHandle> end = first.onExit();
@@ -98,14 +102,7 @@
     /** Guards against a second run of a job that the other process handed to a worker, also once that has ended. */
     @Test
     public void aJobThatMustNotRunTwiceIsNotRunAgainByTheOtherProcess() throws Exception {
-        fixture = new Fixture(
-                scenario.standIn("discovery"),
-                Fixture.endpoint("w1", scenario.standIn("w1"), "in_service"),
-                15_000,
-                Fixture.FAKTORY_ON);
-        scenario.front("clients", fixture.clients);
-        scenario.front("faktory", fixture.faktory);
-        fixture.environment.put("TMPDIR", Files.createTempDirectory("upgrade").toString());
+        configureWithOneWorker();
         try (SocketHolder holder = new SocketHolder(fixture.clients)) {
             ProcessHandle first = start(holder, "first");
             CompletableFuture<ProcessHandle> end = first.onExit();
