Memory budget: charge an incomplete body what it holds, not a half more

Cause: bodies grew by half their capacity, and the input that the parser holds during a read was charged besides: 40,000 bytes were charged as 56,325, and for a moment 64.5 kB of the 65.5 kB of that test. If the second client's first read came before the first one's last, the first had no room any more.

Evidence: the new case of SlowClientsTest before: "charged 56325". The order of the reads was concluded from the code, not seen in a trace.

Change: capacities grow in steps of 4 kB; during a read the body alone is charged, the rest of the input at its end.

Measured: SlowClientsTest, MemoryBudgetTest, RefusedJobMemoryTest and ClientLeftTest pass.

--- a/src/main/java/gorserill/common/ByteAccumulator.java
+++ b/src/main/java/gorserill/common/ByteAccumulator.java
@@ -7,6 +7,8 @@
 public final class ByteAccumulator {
     private static final byte[] EMPTY = {};
     private static final int MIN_CAPACITY_BYTES = 256;
+    /** Larger capacities are multiples of this: the capacity is charged to a budget, and spare room is wasted there. */
+    private static final int CAPACITY_STEP_BYTES = 4 * 1024;
 
     private byte[] bytes = EMPTY;
     private int size;
@@ -20,8 +22,9 @@
 
     private void ensureCapacity(int needed) {
         if (needed > bytes.length) {
-            int larger = Math.max(MIN_CAPACITY_BYTES, bytes.length + bytes.length / 2);
-            bytes = Arrays.copyOf(bytes, Math.max(needed, larger));
+            int steps = (needed + CAPACITY_STEP_BYTES - 1) / CAPACITY_STEP_BYTES;
+            int capacity = needed <= MIN_CAPACITY_BYTES ? MIN_CAPACITY_BYTES : steps * CAPACITY_STEP_BYTES;
+            bytes = Arrays.copyOf(bytes, capacity);
         }
     }
 
--- a/src/main/java/gorserill/protocol/http/HttpCodec.java
+++ b/src/main/java/gorserill/protocol/http/HttpCodec.java
@@ -79,11 +79,10 @@
             return wasOpen;
         }
 
-        /** Reserves what the message that is being received holds by now. */
-        void reserveReceived() throws HttpException {
+        /** Reserves what the message that is being received holds by now, and the given part of the input. */
+        void reserveReceived(int bufferedBytes) throws HttpException {
             if (reservation != null
-                    && !reservation.tryResize(
-                            parser.bufferedMemoryBytes() + parser.headMemoryBytes() + body.capacity())) {
+                    && !reservation.tryResize(bufferedBytes + parser.headMemoryBytes() + body.capacity())) {
                 throw noRoom();
             }
         }
@@ -146,7 +145,7 @@
             try {
                 decode(ctx, state, out);
                 state.parser.trim();
-                state.reserveReceived();
+                state.reserveReceived(state.parser.bufferedMemoryBytes());
                 boolean midMessage = state.parser.midMessage();
                 if (midMessage && (!state.incomplete || !out.isEmpty())) {
                     out.add(ChannelListener.PARTIAL_MESSAGE);
@@ -193,7 +192,8 @@
 
     private static void append(State state, byte[] data) throws HttpException {
         state.body.append(ByteBuffer.wrap(data), data.length);
-        state.reserveReceived();
+        // The input that the parser holds meanwhile is gone, or charged, at the end of the read.
+        state.reserveReceived(0);
     }
 
     private static HttpException noRoom() {
--- a/src/test/java/gorserill/protocol/http/SlowClientsTest.java
+++ b/src/test/java/gorserill/protocol/http/SlowClientsTest.java
@@ -121,6 +121,16 @@
         assertEquals(oldest.readLine(), "-ERR no room for more jobs at present");
     }
 
+    /** Guards against room that is charged and not used, which others are refused. */
+    @Test
+    public void anIncompleteBodyIsChargedLittleMoreThanItsSize() throws Exception {
+        InetSocketAddress address = fixture.listen();
+        send(connect(address), head("half", "", BODY_BYTES) + "x".repeat(SENT_BYTES));
+        CoreFixture.await(() -> fixture.memoryBudget.used() >= SENT_BYTES);
+        fixture.runOnLoop(() -> null);
+        assertTrue(fixture.memoryBudget.used() <= SENT_BYTES + 6_000, "charged " + fixture.memoryBudget.used());
+    }
+
     /** Guards against heads whose parsed fields take thirty times the memory of their text. */
     @Test
     public void headsOfVeryManyFieldsAreRejected() throws Exception {
