Memory budget: of incomplete messages the youngest gives way, not the first

What callers saw: of two clients with incomplete bodies beside an exhausted budget the first was refused (503) and the second, which came too late for room, waited 2.3 s for 408.

Cause: an incomplete message took room from stalled ones alone. Bodies are read in turn, 8 kB at a time, so whichever needs the last room was refused.

Change: an incomplete message that has not stalled also takes room from those that began after it, the youngest first. Nothing is evicted unless it makes enough room; before, victims could be evicted in vain. A read of HTTP reserves once, at its end, where it did so for each part of the body and again; the clock is read only when the budget is exhausted. The head of a worker's answer is let go with the answer.

--- a/src/main/java/gorserill/common/MemoryBudget.java
+++ b/src/main/java/gorserill/common/MemoryBudget.java
@@ -1,7 +1,8 @@
 package gorserill.common;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Iterator;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -12,8 +13,9 @@
  * on hundreds of connections, exceed a small heap.
  *
  * <p>Clients that begin messages and don't complete them must not keep others out. When the budget is exhausted,
- * incomplete messages are evicted, the one that began first before others: all of them in favour of a message that is
- * complete or small, and those that began {@value #STALL_MILLIS} ms ago or earlier in favour of any other. Thread-safe.
+ * incomplete messages are evicted, if that makes enough room: in favour of a message that is complete or small any of
+ * them, the oldest first; in favour of any other those that began {@value #STALL_MILLIS} ms ago or earlier, then those
+ * that began after it, the youngest first. Thread-safe.
  */
 public final class MemoryBudget {
     /** Age from which an incomplete message counts as stalled: a client on a sound network has sent it by then. */
@@ -79,17 +81,16 @@
         }
 
         private boolean tryResize(long newBytes, boolean completes) {
-            List<Reservation> evicted = new ArrayList<>();
+            List<Reservation> evicted = new ArrayList<>(0);
             boolean resized;
             synchronized (MemoryBudget.this) {
                 completed |= completes;
-                incomplete.remove(completes ? this : null);
                 resized = !released && makeRoom(newBytes - bytes, completes || newBytes <= SMALL_BYTES, evicted);
                 if (resized) {
                     used += newBytes - bytes;
                     bytes = newBytes;
-                    listIfIncomplete();
                 }
+                updateListing();
             }
             evicted.forEach(other -> other.onEviction.run());
             return resized;
@@ -101,24 +102,48 @@
         }
 
         private boolean makeRoom(long moreBytes, boolean evictsAny, List<Reservation> evicted) {
+            long missingBytes = used + moreBytes - limit;
+            if (moreBytes <= 0 || missingBytes <= 0) {
+                return true;
+            }
+            for (Reservation victim : evictsAny ? List.copyOf(incomplete) : lessDeserving()) {
+                if (victim != this && missingBytes > 0) {
+                    missingBytes -= victim.bytes;
+                    evicted.add(victim);
+                }
+            }
+            if (missingBytes > 0) {
+                evicted.clear();
+                return false;
+            }
+            evicted.forEach(Reservation::release);
+            return true;
+        }
+
+        /** The incomplete messages that give way to this one, which is incomplete, too. */
+        private List<Reservation> lessDeserving() {
             long stalledSince = nanoClock.getAsLong() - STALL_MILLIS * NANOS_PER_MILLI;
-            Iterator<Reservation> oldest = incomplete.iterator();
-            while (moreBytes > 0 && used + moreBytes > limit && oldest.hasNext()) {
-                Reservation other = oldest.next();
-                if (other == this) {
-                    continue;
-                } else if (!evictsAny && other.startedNanos - stalledSince > 0) {
-                    break;
+            List<Reservation> stalled = new ArrayList<>();
+            Deque<Reservation> youngestFirst = new ArrayDeque<>();
+            boolean younger = false;
+            for (Reservation other : incomplete) {
+                if (other.startedNanos - stalledSince <= 0) {
+                    stalled.add(other);
+                } else if (younger) {
+                    youngestFirst.addFirst(other);
                 }
-                oldest.remove();
-                other.free();
-                evicted.add(other);
+                younger |= other == this;
+            }
+            if (!stalled.contains(this)) {
+                stalled.addAll(youngestFirst);
             }
-            return moreBytes <= 0 || used + moreBytes <= limit;
+            return stalled;
         }
 
-        private void listIfIncomplete() {
-            if (bytes > 0 && !completed && incomplete.add(this)) {
+        private void updateListing() {
+            if (completed || released || bytes == 0) {
+                incomplete.remove(this);
+            } else if (incomplete.add(this)) {
                 startedNanos = nanoClock.getAsLong();
             }
         }
@@ -126,15 +151,11 @@
         /** Returns the memory to the budget, once: further calls do nothing, so that the limit can't grow by them. */
         public void release() {
             synchronized (MemoryBudget.this) {
-                incomplete.remove(this);
-                free();
-            }
-        }
-
-        private void free() {
-            if (!released) {
-                released = true;
-                used -= bytes;
+                if (!released) {
+                    released = true;
+                    used -= bytes;
+                    updateListing();
+                }
             }
         }
     }
--- a/src/main/java/gorserill/protocol/http/HttpCodec.java
+++ b/src/main/java/gorserill/protocol/http/HttpCodec.java
@@ -79,10 +79,11 @@
             return wasOpen;
         }
 
-        /** Reserves what the message that is being received holds by now, and the given part of the input. */
-        void reserveReceived(int bufferedBytes) throws HttpException {
+        /** Reserves what the message that is being received holds at the end of a read. */
+        void reserveReceived() throws HttpException {
             if (reservation != null
-                    && !reservation.tryResize(bufferedBytes + parser.headMemoryBytes() + body.capacity())) {
+                    && !reservation.tryResize(
+                            parser.bufferedMemoryBytes() + parser.headMemoryBytes() + body.capacity())) {
                 throw noRoom();
             }
         }
@@ -145,7 +146,7 @@
             try {
                 decode(ctx, state, out);
                 state.parser.trim();
-                state.reserveReceived(state.parser.bufferedMemoryBytes());
+                state.reserveReceived();
                 boolean midMessage = state.parser.midMessage();
                 if (midMessage && (!state.incomplete || !out.isEmpty())) {
                     out.add(ChannelListener.PARTIAL_MESSAGE);
@@ -176,26 +177,24 @@
                     if (responses) {
                         out.add(state.parser.data());
                     } else {
-                        append(state, state.parser.data());
+                        byte[] data = state.parser.data();
+                        state.body.append(ByteBuffer.wrap(data), data.length);
                     }
                 }
                 default -> {
                     if (!responses) {
                         out.add(state.takeRequest());
-                    } else if (!state.interim) {
-                        out.add(END_OF_RESPONSE);
+                    } else {
+                        state.parser.takeHead();
+                        if (!state.interim) {
+                            out.add(END_OF_RESPONSE);
+                        }
                     }
                 }
             }
         }
     }
 
-    private static void append(State state, byte[] data) throws HttpException {
-        state.body.append(ByteBuffer.wrap(data), data.length);
-        // The input that the parser holds meanwhile is gone, or charged, at the end of the read.
-        state.reserveReceived(0);
-    }
-
     private static HttpException noRoom() {
         return new HttpException(503, "no room for more bodies at present");
     }
--- a/src/test/java/gorserill/common/MemoryBudgetTest.java
+++ b/src/test/java/gorserill/common/MemoryBudgetTest.java
@@ -69,6 +69,27 @@
         assertEquals(evicted, List.of("first"));
     }
 
+    /** Guards against the refusal of the first of two messages that are read in turn, since it needs the last room. */
+    @Test
+    public void theYoungestGivesWayWhereNoneHasStalled() {
+        Reservation first = incomplete("first", 40_000);
+        incomplete("second", 30_000);
+        incomplete("third", 30_000);
+        assertTrue(first.tryResize(60_000));
+        assertEquals(evicted, List.of("third"));
+        nowNanos += SECOND_NANOS;
+        incomplete("fourth", 10_000);
+        assertFalse(first.tryResize(LIMIT_BYTES), "it has stalled itself");
+    }
+
+    @Test
+    public void nothingIsEvictedInVain() {
+        assertTrue(budget.newReservation(() -> evicted.add("whole")).tryComplete(50_000));
+        incomplete("half", 40_000);
+        assertFalse(budget.newReservation(() -> evicted.add("next")).tryComplete(60_000));
+        assertEquals(evicted, List.of());
+    }
+
     @Test
     public void completeMessagesNeverGiveWay() {
         assertTrue(budget.newReservation(() -> evicted.add("whole")).tryComplete(LIMIT_BYTES));
