Core: an unsafe job whose result was rejected is not remembered as served

What callers saw: a never-twice job's worker answers, the contract rejects the result (x-gorserill-answers: enforce), the client is told that the job failed; pushed again under its id on the Faktory front it got +OK.

Cause: UnsafeJobMemory heard of the worker's outcome, not of the answer.

Change: a job counts as served only where its client is told so.

Measured: CoreTest and CoreRulesProperties pass.

--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -346,14 +346,12 @@
         request.openAttempts--;
         attempt.neverRan |= outcome.neverRan;
         // The response is sent before the module is updated, so that the client does not wait for bookkeeping.
-        if (outcome == Outcome.SERVED) {
-            unsafeJobs.served(request.job.id());
-        }
         if (outcome == Outcome.SERVED && !request.concluded) {
             conclude(request);
             JobContract contract = request.job.contract();
             if (contract == null || contract.acceptsResult(result)) {
                 statistics.countServed(request.job.jobClass());
+                unsafeJobs.served(request.job.id());
                 request.handler.served(result);
             } else {
                 // The job has run, so a response that violates the contract must not cause a retry.
--- a/src/test/java/gorserill/routing/CoreTest.java
+++ b/src/test/java/gorserill/routing/CoreTest.java
@@ -221,6 +221,34 @@
         assertEquals(on(core::openRequests).intValue(), 0);
     }
 
+    /** Guards against a second run of an unsafe job, and against another answer than the first when it comes again. */
+    @Test
+    public void unsafeJobsAreRememberedByWhatTheirClientsWereTold() throws Exception {
+        assertEquals(outcomeAfter(UNSAFE, true, Outcome.SERVED), PastOutcome.SERVED);
+        assertEquals(outcomeAfter(UNSAFE, false, Outcome.SERVED), PastOutcome.MAY_HAVE_RUN, "its result was rejected");
+        assertEquals(outcomeAfter(UNSAFE, true, Outcome.RESET), PastOutcome.MAY_HAVE_RUN);
+        assertEquals(outcomeAfter(UNSAFE, true, null), PastOutcome.MAY_HAVE_RUN, "its client left while it ran");
+        assertEquals(outcomeAfter(SAFE, true, Outcome.SERVED), null);
+    }
+
+    /** @param outcome of the only attempt; null if the client leaves instead */
+    private PastOutcome outcomeAfter(int jobClass, boolean acceptsResult, Outcome outcome) throws Exception {
+        stop();
+        start();
+        RecordingWorker worker = recordingWorker(false);
+        long handle = on(() ->
+                submit(new RecordedAnswers(), jobClass, DEADLINE_MICROS, new FakeContract(Effect.SAFE, acceptsResult)));
+        assertTrue(worker.first.await(5, TimeUnit.SECONDS));
+        return on(() -> {
+            if (outcome == null) {
+                core.withdraw(handle);
+            } else {
+                worker.attempts.get(0).ended(outcome, new byte[0], Load.NONE);
+            }
+            return core.pastOutcome("r");
+        });
+    }
+
     @Test
     public void attemptOnSilentWorkerEndsAtClientTimeout() throws Exception {
         for (boolean neverRan : new boolean[] {false, true}) {
