Upgrades: ids of unsafe jobs are passed on over two upgrades in a row

What callers saw: a never-twice job, sent again under its id after two upgrades, ran again.

Cause: the process that stays took over the ids of the one that ended, but published its own alone, so the third process never heard of them.

Evidence: UpgradeTest, with a third process, on the commit before: no 409 comes, the job goes to the worker.

Change: ids that were taken over are published, too, and give way first when the table is full. PublishedIds is keyed by hash for that. The two look-ups in the tables of other processes share one loop.

--- a/src/main/java/gorserill/common/PublishedIds.java
+++ b/src/main/java/gorserill/common/PublishedIds.java
@@ -12,8 +12,8 @@
  */
 final class PublishedIds {
     private final LongBuffer buffer;
-    /** Buffer entry of each published id. */
-    private final Map<String, Integer> entries = new HashMap<>();
+    /** Buffer entry of each published id, by the id's hash. */
+    private final Map<Long, Integer> entries = new HashMap<>();
 
     private final Deque<Integer> freeEntries = new ArrayDeque<>();
 
@@ -26,16 +26,20 @@
         }
     }
 
-    void add(String id) {
-        if (!freeEntries.isEmpty() && !entries.containsKey(id)) {
+    boolean isFull() {
+        return freeEntries.isEmpty();
+    }
+
+    void add(long hash) {
+        if (!isFull() && !entries.containsKey(hash)) {
             int entry = freeEntries.remove();
-            entries.put(id, entry);
-            buffer.put(entry, hash(id));
+            entries.put(hash, entry);
+            buffer.put(entry, hash);
         }
     }
 
-    void remove(String id) {
-        Integer entry = entries.remove(id);
+    void remove(long hash) {
+        Integer entry = entries.remove(hash);
         if (entry != null) {
             buffer.put(entry, 0);
             freeEntries.addFirst(entry);
--- a/src/main/java/gorserill/common/SiblingProcesses.java
+++ b/src/main/java/gorserill/common/SiblingProcesses.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 /**
  * Shared state of the processes of one node that run at the same time, as during an upgrade: how many descriptors
@@ -151,17 +152,26 @@
         loop.at(loop.now() + REFRESH_MICROS, this::refresh);
     }
 
-    /** Called while the lock of the ended process's slot is held, so that no successor clears the entries meanwhile. */
+    /**
+     * Takes over and publishes what an ended process has published, for the next upgrade. Called while the lock of that
+     * process's slot is held, so that no successor clears the entries meanwhile.
+     */
     private void inheritUnsafeJobs(LongBuffer jobs) {
         for (int entry = 0; entry < jobs.capacity(); entry++) {
             long hash = jobs.get(entry);
-            if (hash != 0) {
-                inheritedUnsafeJobs.add(hash);
+            if (hash != 0 && inheritedUnsafeJobs.add(hash)) {
+                unsafeIds.add(hash);
             }
         }
-        Iterator<Long> oldest = inheritedUnsafeJobs.iterator();
         while (inheritedUnsafeJobs.size() > MAX_UNSAFE_JOBS) {
-            oldest.next();
+            forgetOldestInherited();
+        }
+    }
+
+    private void forgetOldestInherited() {
+        Iterator<Long> oldest = inheritedUnsafeJobs.iterator();
+        if (oldest.hasNext()) {
+            unsafeIds.remove(oldest.next());
             oldest.remove();
         }
     }
@@ -189,53 +199,52 @@
     /** Publishes a request that is open in this process. */
     public void requestOpened(String id) {
         if (openIds != null) {
-            openIds.add(id);
+            openIds.add(PublishedIds.hash(id));
         }
     }
 
     /** Removes a request that is no longer open in this process. */
     public void requestClosed(String id) {
         if (openIds != null) {
-            openIds.remove(id);
+            openIds.remove(PublishedIds.hash(id));
         }
     }
 
     /** Whether a request of this id is open in another process. */
     public boolean isOpenElsewhere(String id) {
-        long hash = otherBuffers.isEmpty() ? 0 : PublishedIds.hash(id);
-        for (LongBuffer other : otherBuffers) {
-            if (PublishedIds.contains(openIdsIn(other), hash)) {
-                return true;
-            }
-        }
-        return false;
+        return isPublishedElsewhere(SiblingProcesses::openIdsIn, id);
     }
 
     /** Publishes an unsafe job that this process hands to a worker. */
     public void unsafeJobHandedOut(String id) {
         if (unsafeIds != null) {
-            unsafeIds.add(id);
+            if (unsafeIds.isFull()) {
+                forgetOldestInherited();
+            }
+            unsafeIds.add(PublishedIds.hash(id));
         }
     }
 
     /** Removes an unsafe job that has provably not run, or that is too old to be remembered. */
     public void unsafeJobForgotten(String id) {
         if (unsafeIds != null) {
-            unsafeIds.remove(id);
+            unsafeIds.remove(PublishedIds.hash(id));
         }
     }
 
     /** Whether another process, running or ended, has handed an unsafe job of this id to a worker. */
     public boolean mayHaveRunElsewhere(String id) {
-        if (otherBuffers.isEmpty() && inheritedUnsafeJobs.isEmpty()) {
-            return false;
-        }
-        long hash = PublishedIds.hash(id);
+        return isPublishedElsewhere(SiblingProcesses::unsafeJobsIn, id)
+                || !inheritedUnsafeJobs.isEmpty() && inheritedUnsafeJobs.contains(PublishedIds.hash(id));
+    }
+
+    private boolean isPublishedElsewhere(UnaryOperator<LongBuffer> tableInSlot, String id) {
+        long hash = otherBuffers.isEmpty() ? 0 : PublishedIds.hash(id);
         for (LongBuffer other : otherBuffers) {
-            if (PublishedIds.contains(unsafeJobsIn(other), hash)) {
+            if (PublishedIds.contains(tableInSlot.apply(other), hash)) {
                 return true;
             }
         }
-        return inheritedUnsafeJobs.contains(hash);
+        return false;
     }
 }
--- a/src/test/java/gorserill/program/UpgradeTest.java
+++ b/src/test/java/gorserill/program/UpgradeTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -99,15 +100,18 @@
         }
     }
 
-    /** Guards against a second run of a job that the other process handed to a worker, also once that has ended. */
+    /** Guards against a second run of a job that another process handed to a worker, also after two upgrades. */
     @Test
     public void aJobThatMustNotRunTwiceIsNotRunAgainByTheOtherProcess() throws Exception {
         configureWithOneWorker();
         try (SocketHolder holder = new SocketHolder(fixture.clients)) {
             ProcessHandle first = start(holder, "first");
             CompletableFuture<ProcessHandle> end = first.onExit();
-            scenario.call("upgrade", () -> start(holder, "second"));
+            AtomicReference<ProcessHandle> second = new AtomicReference<>();
+            scenario.call("upgrade", () -> second.set(start(holder, "second")));
+            scenario.call("upgrade again", () -> start(holder, "third"));
             scenario.call("term", first::destroy);
+            scenario.call("term second", () -> second.get().destroy());
             scenario.run("""
                 R ready first
                 C connect clients
@@ -138,6 +142,15 @@
                 E connect clients
                 E send JOB alerta a-1 5000 twice
                 E expect@0-500 409
+                S ready second
+                X call upgrade again
+                T ready third
+                X call term second
+                S expect <closed>
+                - wait 800
+                G connect clients
+                G send JOB alerta a-1 5000 twice
+                G expect@0-500 409
                 """.lines().toList());
         }
     }
