Faktory: a line in ASCII is decoded once

The codec decoded each line to check that it is UTF-8, threw the text away, and the frontend decoded it again. A line in ASCII, as nearly all are, is valid without a decoder; others are still checked as before.

Measured: the tests of both fronts (protocol.http, ScenariosTest) pass. Its time was not measured.

--- a/src/main/java/gorserill/protocol/faktory/FaktoryCodec.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryCodec.java
@@ -169,6 +169,9 @@
     }
 
     private static void checkText(byte[] line) throws FrameException {
+        if (isAscii(line)) {
+            return;
+        }
         try {
             StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(line));
         } catch (CharacterCodingException e) {
@@ -176,6 +179,15 @@
         }
     }
 
+    private static boolean isAscii(byte[] line) {
+        for (byte b : line) {
+            if (b < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     @Override
     public NextAction handleWrite(FilterChainContext ctx) {
         ctx.setMessage(Buffers.wrap(ctx.getMemoryManager(), (byte[]) ctx.getMessage()));
