--- a/src/test/java/gorserill/protocol/http/CoreFixture.java
+++ b/src/test/java/gorserill/protocol/http/CoreFixture.java
@@ -4,7 +4,10 @@
 import barrowflow.Dispatcher.Effect;
 import barrowflow.Dispatcher.Group;
 import barrowflow.Dispatcher.JobClass;
+import barrowflow.Dispatcher.ListKind;
 import barrowflow.Dispatcher.Settings;
+import barrowflow.Dispatcher.Worker;
+import barrowflow.Dispatcher.WorkerState;
 import gorserill.common.Loop;
 import gorserill.common.MemoryBudget;
 import gorserill.common.SiblingProcesses;
@@ -27,6 +30,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -42,6 +46,9 @@
 final class CoreFixture implements AutoCloseable {
     static final JobClass SAFE = new JobClass(100_000, 2, 2_000_000, 1, 0, Effect.SAFE, Group.ALL, 0, -1);
 
+    /** The time after which a refused job may come again, where all are refused. */
+    private static final long RETRY_AFTER_MICROS = 500_000;
+
     final List<Throwable> failures = new ArrayList<>();
     /** How far the test has advanced the node's clock, in nanoseconds. */
     final AtomicLong clockOffsetNanos = new AtomicLong();
@@ -102,6 +109,28 @@
         return new HookedWorker(worker);
     }
 
+    /** Lists {@code count} workers in service, number 1 and up, at fake servers. */
+    void listWorkers(FakeServers servers, int count) throws Exception {
+        runOnLoop(() -> {
+            List<Worker> all = new ArrayList<>();
+            Map<Long, HttpWorker> ports = new HashMap<>();
+            for (int index = 0; index < count; index++) {
+                all.add(new Worker(index + 1, 0, 0, 0, WorkerState.READY, 0));
+                ports.put(index + 1L, httpWorker("w" + index, servers.address(index)));
+            }
+            core.updateWorkers(ListKind.WHOLE, all, ports);
+            return null;
+        });
+    }
+
+    /** Refuses each job as it is submitted, with a time to wait that no frontend gives by itself. */
+    void refuseAllJobs() throws Exception {
+        runOnLoop(() -> {
+            core.setAdmissionControl((now, jobClass, tenant) -> RETRY_AFTER_MICROS);
+            return null;
+        });
+    }
+
     /** Starts the HTTP frontend for clients on a reserved loopback port. */
     InetSocketAddress listen() throws Exception {
         return listen(HttpCodec.server(loop::now, HttpFrontend.MAX_BODY_BYTES, memoryBudget));
