Core: a client's short time is not held against the worker

What callers saw: while one client sent jobs that give 1 ms at full speed, sound clients' jobs were refused (503 after 0.2 s) beside an idle worker.

Cause: where a client's time ends, attempts ended as CONNECT_FAILED if not written, else as TIMEOUT. The decision module backs off from the worker for either, doubling each time, although the end of 1 ms says nothing of it.

Change: what was not written ends as NOT_SENT, as ports report connections that do not come up by themselves; what was written ends as CANCELLED if the client gave less than half of its class's time, else as TIMEOUT.

CoreTest and CoreRulesProperties pass.

--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -33,6 +33,9 @@
 public final class Core implements Dispatcher.Actions {
     private static final Logger LOG = Logger.getLogger(Core.class.getName());
 
+    /** A client that gives less than this part of its class's time says nothing of a worker by its end. */
+    private static final int SHORT_WAIT_SHARE = 2;
+
     private final Loop loop;
     private final Settings settings;
     private final Dispatcher module;
@@ -113,6 +116,7 @@
         long expires = Math.min(answerDeadline, options.arrivedAt() + options.timeLeft());
         JobClass jobClass = settings.classes().get(job.jobClass());
         Request request = new Request(handler, job, expires, jobClass);
+        request.hasShortWait = options.timeLeft() < jobClass.deadline() / SHORT_WAIT_SHARE;
         request.takenAt = now;
         request.handle = requests.add(request);
         openCount++;
@@ -406,7 +410,7 @@
         for (Attempt attempt : List.copyOf(request.attempts)) {
             if (attempts.get(attempt.handle) != null) {
                 boolean neverRan = attempt.port.abort(attempt);
-                ended(attempt, neverRan ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, null, Load.NONE);
+                ended(attempt, expiryOutcome(request, neverRan), null, Load.NONE);
             }
         }
         if (!request.concluded) {
@@ -416,6 +420,18 @@
         }
     }
 
+    /**
+     * The outcome of an attempt that the end of the client's time has ended. The module takes a failed connection and a
+     * timeout for signs of a worker in trouble and sends it nothing for a while. A client that gives little time must
+     * not bring that about: ports report connections that do not come up by themselves.
+     */
+    private static Outcome expiryOutcome(Request request, boolean neverRan) {
+        if (neverRan) {
+            return Outcome.NOT_SENT;
+        }
+        return request.hasShortWait ? Outcome.CANCELLED : Outcome.TIMEOUT;
+    }
+
     /** Marks the request as having its final response. */
     private void conclude(Request request) {
         request.concluded = true;
--- a/src/main/java/gorserill/routing/Request.java
+++ b/src/main/java/gorserill/routing/Request.java
@@ -16,6 +16,8 @@
 
     final List<Attempt> attempts = new ArrayList<>(1);
     long handle;
+    /** The client waits much less than its class allows. */
+    boolean hasShortWait;
     /** Microseconds of the loop's clock. */
     long takenAt;
 
--- a/src/test/java/gorserill/routing/CoreTest.java
+++ b/src/test/java/gorserill/routing/CoreTest.java
@@ -418,6 +418,45 @@
         assertEquals(handler.await(), List.of("served yes"));
     }
 
+    /**
+     * Guards against a worker that gets no jobs for a while since clients gave theirs too little time, whether those
+     * jobs were written to it or not.
+     */
+    @Test
+    public void jobsWithTooLittleTimeAreNotHeldAgainstTheWorker() {
+        for (boolean neverRan : new boolean[] {false, true}) {
+            long[] nanos = {0};
+            Loop ownLoop = new Loop(errors::add, () -> nanos[0]);
+            Core ownCore = new Core(ownLoop, settings, 7, () -> {});
+            RecordingWorker worker = new RecordingWorker(neverRan);
+            ownCore.updateWorkers(
+                    ListKind.WHOLE, List.of(new Worker(1, 0, 0, 0, WorkerState.READY, 0)), Map.of(1L, worker));
+            for (int i = 0; i < 5; i++) {
+                submitSafe(ownCore, ownLoop, 20_000);
+                pass(nanos, ownLoop, 200);
+            }
+            int before = worker.attempts.size();
+            assertTrue(before > 0, "no short job was sent");
+            submitSafe(ownCore, ownLoop, DEADLINE_MICROS);
+            pass(nanos, ownLoop, 30);
+            assertEquals(worker.attempts.size(), before + 1, "sent, after short jobs that never ran: " + neverRan);
+        }
+    }
+
+    private static void submitSafe(Core core, Loop loop, long timeLeft) {
+        core.submit(
+                new RecordedAnswers(),
+                new JobSpec("r", SAFE, null, null, null, new byte[0], null),
+                new RequestOptions(loop.now(), timeLeft, false, 0, 0, 1, 0));
+    }
+
+    private static void pass(long[] nanos, Loop loop, int millis) {
+        for (int i = 0; i < millis; i++) {
+            nanos[0] += 1_000_000;
+            loop.runDue();
+        }
+    }
+
     /**
      * The core stops a decision module that repeats a job which must not be repeated. The test uses its own clock:
      * with the system clock, a pause of 100 ms between arrival and the end of the period left too little time for the
