Tests: one way to start the program on a fixture

ContractMemoryTest and ContractChangeTest (twice) each put together the command line of a node in a JVM of its own. Fixture.program does so now; options, checks and bounds are as they were.

Measured: ContractMemoryTest and ContractChangeTest pass.

--- a/src/test/java/gorserill/program/ContractChangeTest.java
+++ b/src/test/java/gorserill/program/ContractChangeTest.java
@@ -188,15 +188,7 @@
                     Fixture.endpoint("w1", scenario.standIn("w1"), "in_service"),
                     15_000,
                     "{}");
-            ProcessBuilder builder = new ProcessBuilder(
-                            "java",
-                            "-verbose:class",
-                            "-cp",
-                            System.getProperty("java.class.path"),
-                            "gorserill.program.Main",
-                            "serve")
-                    .redirectErrorStream(true);
-            builder.environment().putAll(fixture.environment);
+            ProcessBuilder builder = fixture.program("-verbose:class");
             builder.environment().remove("GORSERILL_FAKTORY");
             Process program = builder.start();
             try (var log = program.inputReader()) {
@@ -228,10 +220,7 @@
                         + "{x-gorserill-class: alerta, x-gorserill-effect: safe}}}\n");
         try (Scenario scenario = new Scenario()) {
             Fixture fixture = new Fixture(scenario.standIn("discovery"), "", 15_000, "{}");
-            ProcessBuilder builder = new ProcessBuilder(
-                            "java", "-cp", System.getProperty("java.class.path"), "gorserill.program.Main", "serve")
-                    .redirectErrorStream(true);
-            builder.environment().putAll(fixture.environment);
+            ProcessBuilder builder = fixture.program();
             builder.environment().put("GORSERILL_OPENAPI", openApi.toString());
             Process program = builder.start();
             String log = new String(program.getInputStream().readAllBytes());
--- a/src/test/java/gorserill/program/ContractMemoryTest.java
+++ b/src/test/java/gorserill/program/ContractMemoryTest.java
@@ -62,7 +62,9 @@
             fixture.environment.put("GORSERILL_OPENAPI", openApi.toString());
             scenario.front("clients", fixture.clients);
             scenario.front("operators", fixture.operators());
-            Process program = startWithDeploymentHeap(fixture.environment);
+            Process program = fixture.program(
+                            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", HEAP, "-XX:+ExitOnOutOfMemoryError")
+                    .start();
             try (BufferedReader log = program.inputReader()) {
                 awaitReady(log);
                 for (String version : List.of("1.1", "1.2")) {
@@ -90,22 +92,6 @@
         }
     }
 
-    private static Process startWithDeploymentHeap(Map<String, String> environment) throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(
-                        "java",
-                        "-XX:+UseSerialGC",
-                        "-XX:TieredStopAtLevel=1",
-                        HEAP,
-                        "-XX:+ExitOnOutOfMemoryError",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "gorserill.program.Main",
-                        "serve")
-                .redirectErrorStream(true);
-        builder.environment().putAll(environment);
-        return builder.start();
-    }
-
     private static void awaitReady(BufferedReader log) throws Exception {
         List<String> before = new ArrayList<>();
         for (String line = log.readLine(); line == null || !line.contains("is ready"); line = log.readLine()) {
--- a/src/test/java/gorserill/program/Fixture.java
+++ b/src/test/java/gorserill/program/Fixture.java
@@ -6,7 +6,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The files and addresses that a node under test is told. */
@@ -73,6 +75,16 @@
         }
     }
 
+    /** The command {@code serve} in a JVM of its own with these options; its log goes to standard output. */
+    ProcessBuilder program(String... jvmOptions) {
+        List<String> command = new ArrayList<>(List.of("java"));
+        command.addAll(List.of(jvmOptions));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gorserill.program.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().putAll(environment);
+        return builder;
+    }
+
     /** The node is to listen for operators, too; gives where. */
     InetSocketAddress operators() throws IOException {
         InetSocketAddress at = ReservedPort.reserveUntilExit();
