Scale: a planted untold drain covers the whole fleet

What was seen: ScaleTest.eachCheckFindsItsPlantedFaultAndNoOther found no late send with the plant DRAIN_UNTOLD once on a busy machine.

Cause: the node uses one or two of the 20 workers at a time. The check was right; there was nothing to find.

Change: with this plant, all workers drain with the first change of the churn, and stay listed so. Names in Churn say their unit, and the parts of a change are methods of their own.

--- a/src/main/java/gorserill/program/scale/Churn.java
+++ b/src/main/java/gorserill/program/scale/Churn.java
@@ -12,42 +12,43 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Changes of the fleet by a plan from the seed: every other worker that is hit drains before it ends, the
- * rest
- * die at once and are told of later; all come back cold, at a new address.
+ * Changes of the fleet, drawn from the seed: workers drain and then end, or crash and are listed as gone later. All
+ * restart cold, at a new address.
  */
 final class Churn {
-    /** Danger: the check of drains sees only what comes later than its grace and room. */
-    private static final int DRAINING = (int) (RuleChecks.GRACE + RuleChecks.ROOM) + 1_000;
+    /** Longer than the check of drains allows jobs to arrive, so that a late job still meets the worker. */
+    private static final int DRAIN_MILLIS = (int) (RuleChecks.GRACE + RuleChecks.ROOM) + 1_000;
 
-    private static final int UNNOTICED = 500;
-    private static final int AWAY = 1_500;
-    /** No more than one in so many is away at a time. */
-    private static final int ONE_AWAY_OF = 5;
+    private static final int CRASH_TO_LISTED_MILLIS = 500;
+    private static final int GONE_TO_RESTART_MILLIS = 1_500;
+    /** At most one worker in this many is draining or gone at a time. */
+    private static final int WORKERS_PER_ABSENT = 5;
 
     private final FleetList list;
     private final HollowFleet fleet;
     private final RuleChecks checks;
     private final List<ServeNode> nodes;
+    private final Plant plant;
     private final SplittableRandom random;
-    private final Set<Integer> away = new HashSet<>();
+    private final Set<Integer> absent = new HashSet<>();
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(run -> {
         Thread made = new Thread(run, "churn");
         made.setDaemon(true);
         return made;
     });
-    private long hits;
+    private long changes;
 
-    Churn(FleetList list, HollowFleet fleet, RuleChecks checks, List<ServeNode> nodes, long seed) {
+    Churn(FleetList list, HollowFleet fleet, RuleChecks checks, List<ServeNode> nodes, ScalePlan plan) {
         this.list = list;
         this.fleet = fleet;
         this.checks = checks;
         this.nodes = nodes;
-        random = new SplittableRandom(seed);
+        plant = plan.plant();
+        random = new SplittableRandom(plan.seed());
         fleet.whenBack((worker, at) -> thread.execute(() -> back(worker, at)));
     }
 
-    /** The entry of a worker as it is at first. */
+    /** The initial list entry of a worker. */
     static Entry entry(int worker, InetSocketAddress at) {
         return new Entry(name(worker), at, Status.IN_SERVICE, 0);
     }
@@ -61,60 +62,87 @@
         return Integer.parseInt(name.substring(1));
     }
 
-    /** Begins; so many workers a second. */
-    void start(double perSecond) {
-        if (perSecond > 0) {
-            long every = (long) (TimeUnit.SECONDS.toMicros(1) / perSecond);
-            thread.scheduleAtFixedRate(this::hit, every, every, TimeUnit.MICROSECONDS);
+    /**
+     * Starts the changes.
+     *
+     * @param workersPerSecond workers that drain or crash; none if 0
+     */
+    void start(double workersPerSecond) {
+        if (workersPerSecond <= 0) {
+            return;
+        }
+        long period = (long) (TimeUnit.SECONDS.toMicros(1) / workersPerSecond);
+        if (plant == Plant.DRAIN_UNTOLD) {
+            thread.schedule(this::drainWholeFleet, period, TimeUnit.MICROSECONDS);
+        } else {
+            thread.scheduleAtFixedRate(this::changeWorker, period, period, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /**
+     * Drains every worker, for good. Nodes use few workers at a time, so a planted drain of some workers alone would
+     * show only if a node happened to use one of them late enough for the check.
+     */
+    private void drainWholeFleet() {
+        for (int worker = 0; worker < fleet.size(); worker++) {
+            change(worker, Status.TERMINATING, 0);
         }
     }
 
-    /** No more changes from here on. */
+    /** Stops making changes, without waiting for one that is under way. */
     void abandon() {
         thread.shutdownNow();
     }
 
-    /** The same, and waits for the one that is under way. */
+    /** Stops making changes, and waits for one that is under way. */
     void stop() throws InterruptedException {
         abandon();
         thread.awaitTermination(1, TimeUnit.SECONDS);
     }
 
-    /** Tells that a worker wants nothing new, and a moment later that it is in service as before. */
-    void probe(int pause) throws InterruptedException {
+    /**
+     * Lists a worker as draining and then as in service again.
+     *
+     * @param pauseMillis time after each of the two changes
+     */
+    void probe(int pauseMillis) throws InterruptedException {
         int worker = random.nextInt(fleet.size());
         change(worker, Status.TERMINATING, 0);
-        Thread.sleep(pause);
+        Thread.sleep(pauseMillis);
         checks.inService(worker);
         change(worker, Status.IN_SERVICE, 0);
-        Thread.sleep(pause);
+        Thread.sleep(pauseMillis);
     }
 
-    private void hit() {
+    private void changeWorker() {
         int worker = random.nextInt(fleet.size());
-        if (away.contains(worker) || (away.size() + 1) * ONE_AWAY_OF > fleet.size()) {
+        if (absent.contains(worker) || (absent.size() + 1) * WORKERS_PER_ABSENT > fleet.size()) {
             return;
         }
-        away.add(worker);
-        if (hits++ % 2 == 0) {
-            change(worker, Status.TERMINATING, 0);
-            after(DRAINING, () -> {
-                fleet.end(worker);
-                gone(worker);
-            });
+        absent.add(worker);
+        if (changes++ % 2 == 0) {
+            drain(worker);
         } else {
             fleet.end(worker);
-            after(UNNOTICED, () -> gone(worker));
+            after(CRASH_TO_LISTED_MILLIS, () -> gone(worker));
         }
     }
 
+    private void drain(int worker) {
+        change(worker, Status.TERMINATING, 0);
+        after(DRAIN_MILLIS, () -> {
+            fleet.end(worker);
+            gone(worker);
+        });
+    }
+
     private void gone(int worker) {
         change(worker, Status.TERMINATED, 0);
-        after(AWAY, () -> fleet.start(worker));
+        after(GONE_TO_RESTART_MILLIS, () -> fleet.start(worker));
     }
 
     private void back(int worker, InetSocketAddress at) {
-        away.remove(worker);
+        absent.remove(worker);
         checks.inService(worker);
         change(worker, Status.IN_SERVICE, System.currentTimeMillis());
     }
--- a/src/main/java/gorserill/program/scale/ScaleRun.java
+++ b/src/main/java/gorserill/program/scale/ScaleRun.java
@@ -70,7 +70,7 @@
             members = new HollowMembers(plan, commands, children, folder);
             out.println("scale: " + plan.hollowNodes() + " hollow nodes are members");
         }
-        churn = new Churn(list, fleet, checks, nodes, plan.seed());
+        churn = new Churn(list, fleet, checks, nodes, plan);
         out.println("scale: " + plan.workers() + " workers listen, " + plan.nodes() + " nodes serve");
         pass(Math.min(SETTLING, plan.seconds() * MILLIS));
         Phase idle = measureIdle();
