Faktory: only jobs pushed over Faktory are handed out as work units

A body that did parse was handed out with the jid that it named, so that the worker's ACK could settle another client's job.

Cause: FaktoryWorker took the Content-Type, which any client can write, as proof that the body had been parsed on PUSH. Its exception left through the core and the module's timer, which then set no next one.

Evidence: the log's one trace of UncheckedIOException from toWaitingJob.

Change: JobSpec carries BodyFormat, what the front has verified of the body. The Faktory front alone says FAKTORY_WORK_UNIT, and there the jid is the job's id. All else is handed out as args: [body] under the node's own jid.

That an exception of a port still ends the market is a fault of its own and comes next.

--- a/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
@@ -16,6 +16,7 @@
 import gorserill.protocol.JobClassInfo;
 import gorserill.protocol.Tenants;
 import gorserill.protocol.faktory.FaktoryCodec.FrameException;
+import gorserill.routing.BodyFormat;
 import gorserill.routing.Core;
 import gorserill.routing.JobContract;
 import gorserill.routing.JobSpec;
@@ -462,7 +463,9 @@
                             key,
                             FaktoryJob.MEDIA_TYPE,
                             text.getBytes(StandardCharsets.UTF_8),
-                            jobContract),
+                            jobContract,
+                            null,
+                            BodyFormat.FAKTORY_WORK_UNIT),
                     new RequestOptions(
                             loop.now(),
                             remainingMicros,
--- a/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import gorserill.contract.schema.Check;
+import gorserill.routing.BodyFormat;
 import gorserill.routing.JobSpec;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -36,7 +37,7 @@
         double slots,
         String tenant,
         long estimateUs) {
-    /** Media type of a body that is a complete work unit. */
+    /** Media type under which a complete work unit is passed on to HTTP workers. */
     static final String MEDIA_TYPE = "application/vnd.faktory.job+json";
 
     static final String DEFAULT_QUEUE = "default";
@@ -170,7 +171,7 @@
 
     /** Encodes the work unit that a Faktory worker receives for a job, whichever protocol the job arrived by. */
     static byte[] encodeWorkUnit(JobSpec spec, String queue, String jobtype) {
-        if (MEDIA_TYPE.equals(spec.contentType())) {
+        if (spec.bodyFormat() == BodyFormat.FAKTORY_WORK_UNIT) {
             return spec.body();
         }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
@@ -5,6 +5,7 @@
 import gorserill.common.Loop;
 import gorserill.common.ThrottledWarnings;
 import gorserill.routing.Attempt;
+import gorserill.routing.BodyFormat;
 import gorserill.routing.JobSpec;
 import gorserill.routing.Load;
 import gorserill.routing.WorkerPort;
@@ -270,7 +271,7 @@
     }
 
     private WaitingJob toWaitingJob(Attempt attempt, JobSpec spec) {
-        if (FaktoryJob.MEDIA_TYPE.equals(spec.contentType())) {
+        if (spec.bodyFormat() == BodyFormat.FAKTORY_WORK_UNIT) {
             try {
                 FaktoryJob job = FaktoryJob.parse(new String(spec.body(), StandardCharsets.UTF_8));
                 return new WaitingJob(attempt, spec, job.queue(), job.reserveForSeconds());
--- /dev/null
+++ b/src/main/java/gorserill/routing/BodyFormat.java
@@ -0,0 +1,9 @@
+package gorserill.routing;
+
+/** What a front has verified of a job's body. The media type is a claim of the client and proves nothing. */
+public enum BodyFormat {
+    /** Nothing: the body is passed on as bytes. */
+    OPAQUE,
+    /** The body is a well-formed Faktory work unit, and its jid is the job's id. */
+    FAKTORY_WORK_UNIT
+}
--- a/src/main/java/gorserill/routing/JobSpec.java
+++ b/src/main/java/gorserill/routing/JobSpec.java
@@ -12,6 +12,7 @@
  * @param contract contract that applies in addition to the class; null for none
  * @param fencingToken increases with each owner of the work that this job belongs to; null for none. Workers that
  *     check it can reject late requests of a previous owner; no guarantee depends on their doing so
+ * @param bodyFormat what the front that accepted the job has verified of the body
  */
 public record JobSpec(
         String id,
@@ -21,9 +22,23 @@
         String contentType,
         byte[] body,
         JobContract contract,
-        String fencingToken) {
+        String fencingToken,
+        BodyFormat bodyFormat) {
 
-    /** A job without fencing token. */
+    /** A job with an opaque body. */
+    public JobSpec(
+            String id,
+            int jobClass,
+            String route,
+            String idempotencyKey,
+            String contentType,
+            byte[] body,
+            JobContract contract,
+            String fencingToken) {
+        this(id, jobClass, route, idempotencyKey, contentType, body, contract, fencingToken, BodyFormat.OPAQUE);
+    }
+
+    /** A job with an opaque body and without fencing token. */
     public JobSpec(
             String id,
             int jobClass,
@@ -35,7 +50,7 @@
         this(id, jobClass, route, idempotencyKey, contentType, body, contract, null);
     }
 
-    /** A job without contract and fencing token. */
+    /** A job with an opaque body and without contract and fencing token. */
     public JobSpec(String id, int jobClass, String route, String idempotencyKey, String contentType, byte[] body) {
         this(id, jobClass, route, idempotencyKey, contentType, body, null, null);
     }
