Core: the format of a body is named without a wire protocol

Cause: BodyFormat, in the core's package, named one of the protocols.

Change: BodyFormat.WORK_UNIT, which says what the core may rely on: the body names the job's own id.

--- a/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryFrontend.java
@@ -465,7 +465,7 @@
                             text.getBytes(StandardCharsets.UTF_8),
                             jobContract,
                             null,
-                            BodyFormat.FAKTORY_WORK_UNIT),
+                            BodyFormat.WORK_UNIT),
                     new RequestOptions(
                             loop.now(),
                             remainingMicros,
--- a/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
@@ -171,7 +171,7 @@
 
     /** Encodes the work unit that a Faktory worker receives for a job, whichever protocol the job arrived by. */
     static byte[] encodeWorkUnit(JobSpec spec, String queue, String jobtype) {
-        if (spec.bodyFormat() == BodyFormat.FAKTORY_WORK_UNIT) {
+        if (spec.bodyFormat() == BodyFormat.WORK_UNIT) {
             return spec.body();
         }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
@@ -271,7 +271,7 @@
     }
 
     private WaitingJob toWaitingJob(Attempt attempt, JobSpec spec) {
-        if (spec.bodyFormat() == BodyFormat.FAKTORY_WORK_UNIT) {
+        if (spec.bodyFormat() == BodyFormat.WORK_UNIT) {
             try {
                 FaktoryJob job = FaktoryJob.parse(new String(spec.body(), StandardCharsets.UTF_8));
                 return new WaitingJob(attempt, spec, job.queue(), job.reserveForSeconds());
--- a/src/main/java/gorserill/routing/BodyFormat.java
+++ b/src/main/java/gorserill/routing/BodyFormat.java
@@ -4,6 +4,6 @@
 public enum BodyFormat {
     /** Nothing: the body is passed on as bytes. */
     OPAQUE,
-    /** The body is a well-formed Faktory work unit, and its jid is the job's id. */
-    FAKTORY_WORK_UNIT
+    /** The body is a complete work unit that names the job's own id. */
+    WORK_UNIT
 }
