Core: an exception of a worker port costs the job at hand alone

Cause: the decision module calls the core in the middle of its period. An exception that left a port ended that period before its last line, which sets the next one.

Evidence: CoreTest.aPortThatFailsCostsTheJobAtHandAlone failed with the guard taken out: the first job got no answer within 5 s.

Change: PortGuard makes all calls of ports. A start that fails is aborted and its job fails (500 or -ERR); an abort that fails counts as "may have run"; a probe that fails reports no load; a worker that leaves is taken out although its port fails. The first fault is logged with its trace, the later ones five a period; diagnostics counts them as app_port_faults_total.

--- a/src/main/java/gorserill/program/NodeMetrics.java
+++ b/src/main/java/gorserill/program/NodeMetrics.java
@@ -76,6 +76,7 @@
                     "held_back_total{reason=\"" + name + "\"}",
                     core.statistics().heldBack(reason));
         }
+        append(text, "port_faults_total", core.portFaults());
         append(text, "discovery_calls_total", watch.calls());
         append(text, "discovery_answers_total", watch.answered());
         append(text, "discovery_turned_away_total", watch.turnedAway());
--- a/src/main/java/gorserill/routing/Core.java
+++ b/src/main/java/gorserill/routing/Core.java
@@ -63,6 +63,7 @@
     private BooleanSupplier descriptorShortage = () -> false;
     private AdmissionControl admissionControl = (now, jobClass, tenant) -> 0;
     private final ThrottledWarnings warnings;
+    private final PortGuard portGuard;
 
     /** Creates a core for a process without sibling processes. */
     public Core(Loop loop, Settings settings, long seed, Runnable subscribe) {
@@ -88,6 +89,7 @@
         this.subscribe = subscribe;
         statistics = new JobStatistics(settings.classes().size());
         warnings = new ThrottledWarnings(loop, LOG, "jobs refused");
+        portGuard = new PortGuard(loop);
         this.module = moduleFactory.apply(now(), this);
     }
 
@@ -196,7 +198,7 @@
         }
         for (long worker : affected) {
             if (!inService.contains(worker)) {
-                ports.get(worker).outOfService();
+                portGuard.outOfService(ports.get(worker));
             }
         }
     }
@@ -270,6 +272,11 @@
         return settings.maxRetryAfter();
     }
 
+    /** Calls of worker ports that ended with an exception, since the start of the process. */
+    public long portFaults() {
+        return portGuard.faults();
+    }
+
     /** Counters since the start of the process. */
     public JobStatistics statistics() {
         return statistics;
@@ -409,7 +416,7 @@
     private void expire(Request request) {
         for (Attempt attempt : List.copyOf(request.attempts)) {
             if (attempts.get(attempt.handle) != null) {
-                boolean neverRan = attempt.port.abort(attempt);
+                boolean neverRan = portGuard.abort(attempt);
                 ended(attempt, expiryOutcome(request, neverRan), null, Load.NONE);
             }
         }
@@ -498,7 +505,10 @@
             unsafeJobs.handedOut(request.job.id());
         }
         attempt.sentAt = now();
-        attempt.port.start(attempt, request.job, request.expiresAt);
+        if (!portGuard.start(attempt)) {
+            attempt.neverRan = portGuard.abort(attempt);
+            loop.execute(() -> invalidJob(attempt));
+        }
     }
 
     @Override
@@ -507,7 +517,7 @@
         if (request != null && number < request.attempts.size()) {
             Attempt attempt = request.attempts.get(number);
             if (attempts.get(attempt.handle) != null) {
-                attempt.neverRan = attempt.port.abort(attempt);
+                attempt.neverRan = portGuard.abort(attempt);
                 // The outcome is reported in a separate event because the module is in the middle of a call.
                 loop.execute(() -> ended(attempt, Outcome.CANCELLED, null, Load.NONE));
             }
@@ -581,7 +591,9 @@
         WorkerPort port = ports.get(worker);
         if (port != null) {
             // The answer is reported in a separate event because the module is in the middle of a call.
-            port.probe(load -> loop.execute(() -> module.probed(now(), worker, load.freeSlots(), load.freeMemory())));
+            portGuard.probe(
+                    port,
+                    load -> loop.execute(() -> module.probed(now(), worker, load.freeSlots(), load.freeMemory())));
         }
     }
 
--- a/src/test/java/gorserill/routing/CoreTest.java
+++ b/src/test/java/gorserill/routing/CoreTest.java
@@ -249,6 +249,73 @@
         });
     }
 
+    /** A worker whose port fails at each call until it is repaired. */
+    private static final class FailingWorker extends RecordingWorker {
+        boolean repaired;
+
+        FailingWorker() {
+            super(false);
+        }
+
+        @Override
+        public void start(Attempt attempt, JobSpec job, long expiresAt) {
+            super.start(attempt, job, expiresAt);
+            fail();
+        }
+
+        @Override
+        public boolean abort(Attempt attempt) {
+            fail();
+            return super.abort(attempt);
+        }
+
+        @Override
+        public void outOfService() {
+            fail();
+        }
+
+        private void fail() {
+            if (!repaired) {
+                throw new IllegalStateException("a fault of the port");
+            }
+        }
+    }
+
+    /** Guards against an exception of a port that ends the module's periods, and with them all handing out of jobs. */
+    @Test
+    public void aPortThatFailsCostsTheJobAtHandAlone() throws Exception {
+        FailingWorker worker = new FailingWorker();
+        RecordedAnswers first = new RecordedAnswers();
+        // Without a worker the job is held, so that it is handed out at the end of a period.
+        on(() -> submit(first, SAFE, DEADLINE_MICROS));
+        on(() -> {
+            list(ListKind.WHOLE, WorkerState.READY, Map.of(1L, worker));
+            return null;
+        });
+        assertEquals(first.await(), List.of("failed"));
+        long faultsAtStart = on(core::portFaults);
+        assertEquals(faultsAtStart, 2, "start and abort");
+        on(() -> {
+            list(ListKind.WHOLE, WorkerState.DRAINING, Map.of(1L, worker));
+            assertEquals(core.portFaults(), 3);
+            worker.repaired = true;
+            list(ListKind.WHOLE, WorkerState.READY, Map.of(1L, worker));
+            return null;
+        });
+        RecordedAnswers second = new RecordedAnswers();
+        on(() -> submit(second, SAFE, DEADLINE_MICROS));
+        for (int looks = 0; looks < 500 && on(worker.attempts::size) < 2; looks++) {
+            Thread.sleep(10);
+        }
+        assertEquals(on(worker.attempts::size).intValue(), 2, "the second job is handed out");
+        on(() -> {
+            worker.attempts.get(1).ended(Outcome.SERVED, "yes".getBytes(), Load.NONE);
+            return null;
+        });
+        assertEquals(second.await(), List.of("served yes"));
+        assertEquals(on(core::openRequests).intValue(), 0);
+    }
+
     @Test
     public void attemptOnSilentWorkerEndsAtClientTimeout() throws Exception {
         for (boolean neverRan : new boolean[] {false, true}) {
