Faktory: a body that is not UTF-8 is not handed out altered

What callers saw: a body over HTTP that is not UTF-8 reached a Faktory worker with each bad byte replaced, and was answered as served.

Cause: the work unit's args are JSON. The body was decoded as UTF-8 for them, and decoding replaces what it cannot read.

Change: such a job ends as not sent at a Faktory worker, so an HTTP worker gets it unchanged, and where there is none the client is refused. The check of UTF-8 that the codec of the Faktory front had is Utf8 in common, for both. Scenarios can send the byte 0xFF as \xff.

--- a/src/main/java/gorserill/protocol/faktory/FaktoryCodec.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryCodec.java
@@ -2,10 +2,10 @@
 
 import gorserill.common.ByteAccumulator;
 import gorserill.common.MemoryBudget;
+import gorserill.common.Utf8;
 import gorserill.transport.ChannelListener;
 import gorserill.transport.InputRejected;
 import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -73,7 +73,9 @@
         Line takeLine() throws FrameException {
             byte[] bytes = line.take();
             MemoryBudget.Reservation taken = reservation;
-            checkText(bytes);
+            if (!Utf8.isWellFormed(bytes)) {
+                throw new FrameException("a line that is not UTF-8");
+            }
             if (!taken.tryComplete(bytes.length + LINE_OVERHEAD_BYTES)) {
                 throw new FrameException(NO_ROOM);
             }
@@ -168,26 +170,6 @@
         return -1;
     }
 
-    private static void checkText(byte[] line) throws FrameException {
-        if (isAscii(line)) {
-            return;
-        }
-        try {
-            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(line));
-        } catch (CharacterCodingException e) {
-            throw new FrameException("a line that is not UTF-8");
-        }
-    }
-
-    private static boolean isAscii(byte[] line) {
-        for (byte b : line) {
-            if (b < 0) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     @Override
     public NextAction handleWrite(FilterChainContext ctx) {
         ctx.setMessage(Buffers.wrap(ctx.getMemoryManager(), (byte[]) ctx.getMessage()));
--- a/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryJob.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import gorserill.common.Utf8;
 import gorserill.contract.schema.Check;
 import gorserill.routing.BodyFormat;
 import gorserill.routing.JobSpec;
@@ -169,7 +170,19 @@
         return json;
     }
 
-    /** Encodes the work unit that a Faktory worker receives for a job, whichever protocol the job arrived by. */
+    /**
+     * Whether a work unit can carry the body of a job unchanged. Its arguments are JSON, which has no binary strings,
+     * so a worker would receive other bytes than the client sent.
+     */
+    static boolean canCarry(JobSpec spec) {
+        return spec.bodyFormat() == BodyFormat.WORK_UNIT || Utf8.isWellFormed(spec.body());
+    }
+
+    /**
+     * Encodes the work unit that a Faktory worker receives for a job, whichever protocol the job arrived by.
+     *
+     * @param spec a job whose body can be carried ({@link #canCarry})
+     */
     static byte[] encodeWorkUnit(JobSpec spec, String queue, String jobtype) {
         if (spec.bodyFormat() == BodyFormat.WORK_UNIT) {
             return spec.body();
--- a/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
+++ b/src/main/java/gorserill/protocol/faktory/FaktoryWorker.java
@@ -117,6 +117,11 @@
             loop.execute(() -> attempt.ended(Outcome.REJECTED, null, freeSlots(0)));
             return;
         }
+        if (!FaktoryJob.canCarry(spec)) {
+            warnings.add("body is not text", "worker " + wid + " is not given request " + jid);
+            loop.execute(() -> attempt.ended(Outcome.NOT_SENT, null, freeSlots(0)));
+            return;
+        }
         WaitingJob next = toWaitingJob(attempt, spec);
         waiting.add(next);
         next.timeout = loop.at(Math.min(expires, loop.now() + MAX_WAIT_MICROS), () -> {
--- a/src/test/java/gorserill/program/Scenario.java
+++ b/src/test/java/gorserill/program/Scenario.java
@@ -263,7 +263,7 @@
             case "LAST" -> chunk + "0\r\n\r\n";
             case "HELLO" -> hello(rest.split(" "));
             case "LIST" -> "HTTP/1.1 200 OK\r\nContent-Length: " + rest.length() + "\r\n\r\n" + rest;
-            default -> text.replace("\\r", "\r").replace("\\n", "\n");
+            default -> text.replace("\\r", "\r").replace("\\n", "\n").replace("\\xff", "\u00ff");
         };
     }
 
